--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; run by `make bench`, never by CI."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform and the endpoints; never installed."""
--- /dev/null
+++ b/standins/endpoint.py
@@ -0,0 +1,347 @@
+"""A stand-in for one database server: slots, connections, replication with lag.
+
+What it assumes of a real server is listed in docs/operators/endpoints.md.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import attrs
+import trio
+
+from standins.database import Database, OpenTransaction, Record
+from wharftiller.core.errors import BadRequestError, ExchangeError
+from wharftiller.core.messages import Action, EndpointAnswer, Verdict
+from wharftiller.edges.codec import from_peer, to_json
+from wharftiller.edges.http import HttpClient, HttpRequest, HttpResponse, serve_stream
+from wharftiller.edges.transport import Transport
+
+PULL_WAIT_MS = 100
+PULL_RECORDS = 500
+PULL_TIMEOUT_S = 1.0
+PULL_PAUSE_S = 0.02
+
+
+@attrs.define
+class EndpointOptions:
+    """Figures of one server.
+
+    Attributes
+    ----------
+    service_ms : float
+        Time a statement holds a slot.
+    lag_ms : float
+        Time a replica waits before it takes in what it pulled.
+    """
+
+    slots: int = 3
+    max_connections: int = 25
+    connect_ms: float = 12.0
+    service_ms: float = 1.0
+    lag_ms: float = 2.0
+
+
+@attrs.define
+class _Connection:
+    """State of one statement connection."""
+
+    greeted: bool = False
+    transaction: OpenTransaction | None = None
+
+
+class Endpoint:
+    """A database behind its statement and control addresses."""
+
+    def __init__(self, name: str, transport: Transport, options: EndpointOptions) -> None:
+        self.database = Database(name)
+        self.options = options
+        self.connections = 0
+        self.most_connections = 0
+        self.refused_connections = 0
+        self.statements = 0
+        self._transport = transport
+        self._slots = trio.Semaphore(options.slots)
+        self._changed = trio.Event()
+        self._heard_primary_at = -math.inf
+        self._follows: tuple[int, str] | None = None
+        self._follow_changed = trio.Event()
+        self._quiesced_until = math.inf
+        self._frozen: trio.Event | None = None
+
+    # Statements ---------------------------------------------------------
+
+    async def statement_stream(self, stream: trio.abc.Stream) -> None:
+        """Serve one statement connection."""
+        connection = _Connection()
+
+        async def handle(request: HttpRequest) -> HttpResponse:
+            return await self._statement_call(connection, request)
+
+        try:
+            await serve_stream(stream, handle)
+        finally:
+            if connection.greeted:
+                self.connections -= 1
+            self._drop_transaction(connection)
+
+    async def _statement_call(self, connection: _Connection, request: HttpRequest) -> HttpResponse:
+        await self._thaw()
+        match request.path:
+            case "/connect":
+                return await self._greet(connection)
+            case "/statement" if connection.greeted:
+                answer = await self._run(connection, request.json())
+                await self._thaw()
+                return HttpResponse(200, to_json(answer))
+            case _:
+                raise BadRequestError("greet with POST /connect, then send POST /statement")
+
+    async def _greet(self, connection: _Connection) -> HttpResponse:
+        if self.connections >= self.options.max_connections:
+            self.refused_connections += 1
+            return HttpResponse(429, {"error": "connection limit"}, close=True)
+        connection.greeted = True
+        self.connections += 1
+        self.most_connections = max(self.most_connections, self.connections)
+        await trio.sleep(self.options.connect_ms / 1000)
+        return HttpResponse(200, {"endpoint": self.database.name})
+
+    async def _run(self, connection: _Connection, body: dict[str, Any]) -> EndpointAnswer:
+        self.statements += 1
+        action = Action(body["action"])
+        if action is Action.RESET:
+            self._drop_transaction(connection)
+            return EndpointAnswer(body["request_id"], Verdict.RAN, self._report())
+        queued_at = trio.current_time()
+        async with self._slots:
+            await trio.sleep(self.options.service_ms / 1000)
+            await self._thaw()
+            if (trio.current_time() - queued_at) * 1000 > body["deadline_ms"]:
+                return self._refusal(body, "its deadline passed in the queue")
+            return self._execute(connection, action, body)
+
+    def _execute(
+        self, connection: _Connection, action: Action, body: dict[str, Any]
+    ) -> EndpointAnswer:
+        database = self.database
+        self._end_overdue_quiesce()
+        request_id, business, term = body["request_id"], body["business"], body["term"]
+        statement = body["statement"]
+        transaction = connection.transaction
+        match action:
+            case Action.READ:
+                return database.read(request_id, business, statement, term)
+            case Action.WRITE if transaction is not None:
+                return database.write_in_transaction(request_id, transaction, statement, term)
+            case Action.WRITE:
+                answer = database.write(request_id, business, statement, term)
+            case Action.RESOLVE:
+                answer = database.resolve(request_id, business, term)
+            case Action.BEGIN:
+                return self._begin(connection, body)
+            case Action.COMMIT if transaction is not None:
+                answer = database.commit(request_id, transaction, term)
+                self._drop_transaction(connection)
+            case Action.ROLLBACK if transaction is not None:
+                self._drop_transaction(connection)
+                return EndpointAnswer(request_id, Verdict.RAN, self._report())
+            case _:
+                return self._refusal(body, "no transaction is open on this connection")
+        self._log_changed()
+        return answer
+
+    def _begin(self, connection: _Connection, body: dict[str, Any]) -> EndpointAnswer:
+        refusal = self.database.begin_refusal(body["term"])
+        if refusal:
+            return self._refusal(body, refusal)
+        connection.transaction = OpenTransaction(body["business"], body["term"])
+        self.database.open_transactions += 1
+        return EndpointAnswer(
+            body["request_id"], Verdict.RAN, self._report(), len(self.database.log)
+        )
+
+    def _drop_transaction(self, connection: _Connection) -> None:
+        if connection.transaction is not None:
+            connection.transaction = None
+            self.database.open_transactions -= 1
+
+    def _refusal(self, body: dict[str, Any], why: str) -> EndpointAnswer:
+        return EndpointAnswer(body["request_id"], Verdict.NOT_RUN, self._report(), why=why)
+
+    def _report(self) -> Any:
+        silent = trio.current_time() - self._heard_primary_at
+        silent_ms = 0 if self.database.leads else round(min(silent, 3_600) * 1000)
+        return self.database.report(silent_ms)
+
+    # Control ------------------------------------------------------------
+
+    async def control_stream(self, stream: trio.abc.Stream) -> None:
+        """Serve one control connection."""
+        await serve_stream(stream, self._control_call)
+
+    async def _control_call(self, request: HttpRequest) -> HttpResponse:
+        body = request.json()
+        if request.path == "/fault":
+            return self._fault(body)
+        await self._thaw()
+        self._end_overdue_quiesce()
+        match request.path:
+            case "/report":
+                await self._wait_for_position(body["wait_position"], body["wait_ms"])
+            case "/fence":
+                return self._ordered(self.database.fence(body["term"]))
+            case "/promote":
+                return self._promote(body["term"])
+            case "/follow":
+                return self._follow(body["term"], body["address"])
+            case "/quiesce":
+                return self._quiesce(body)
+            case "/pull":
+                return await self._pulled(body)
+            case _:
+                raise BadRequestError(f"no control call {request.path!r}")
+        return HttpResponse(200, to_json(self._report()))
+
+    def _ordered(self, done: bool) -> HttpResponse:
+        self._log_changed()
+        return HttpResponse(200 if done else 409, to_json(self._report()))
+
+    def _promote(self, term: int) -> HttpResponse:
+        done = self.database.promote(term)
+        if done:
+            self._follows = None
+        return self._ordered(done)
+
+    def _follow(self, term: int, address: str) -> HttpResponse:
+        if term < self.database.promised or self.database.leads_in == term:
+            return self._ordered(False)
+        self._follows = (term, address)
+        self._follow_changed.set()
+        return self._ordered(True)
+
+    def _quiesce(self, body: dict[str, Any]) -> HttpResponse:
+        if body["term"] != self.database.promised or not self.database.leads:
+            return self._ordered(False)
+        self.database.quiesce = body["level"]
+        self._quiesced_until = trio.current_time() + body["hold_ms"] / 1000
+        return self._ordered(True)
+
+    def _end_overdue_quiesce(self) -> None:
+        if trio.current_time() > self._quiesced_until:
+            self._quiesced_until = math.inf
+            self.database.quiesce = 0
+
+    async def _wait_for_position(self, position: int, wait_ms: int) -> None:
+        with trio.move_on_after(wait_ms / 1000):
+            while len(self.database.log) < position:
+                await self._changed.wait()
+
+    def _log_changed(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+    # Replication --------------------------------------------------------
+
+    async def _pulled(self, body: dict[str, Any]) -> HttpResponse:
+        ends = {int(term): index for term, index in body["ends"]}
+        database = self.database
+        with trio.move_on_after(body["wait_ms"] / 1000):
+            while database.leads_in == body["term"]:
+                common, records = database.records_after(ends, PULL_RECORDS)
+                if records or ends.get(database.log_term) != len(database.log):
+                    break
+                await self._changed.wait()
+        if not database.leads or database.leads_in != body["term"]:
+            return HttpResponse(409, {"error": "does not lead in that term"})
+        common, records = database.records_after(ends, PULL_RECORDS)
+        return HttpResponse(
+            200, {"common": common, "records": [to_json(record) for record in records]}
+        )
+
+    async def replicate(self) -> None:
+        """Pull the log of the primary that was last named, for ever."""
+        while True:
+            if self._follows is None or self.database.leads:
+                await self._follow_changed.wait()
+                self._follow_changed = trio.Event()
+                continue
+            term, address = self._follows
+            client = HttpClient(self._transport, address)
+            try:
+                await self._pull_from(client, term)
+            finally:
+                await client.aclose()
+
+    async def _pull_from(self, client: HttpClient, term: int) -> None:
+        while self._follows == (term, client.address) and term >= self.database.promised:
+            body = {
+                "term": term,
+                "ends": list(self.database.term_ends.items()),
+                "wait_ms": PULL_WAIT_MS,
+            }
+            try:
+                answer = await client.request("POST", "/pull", body, timeout_s=PULL_TIMEOUT_S)
+            except ExchangeError:
+                await trio.sleep(PULL_PAUSE_S)
+                continue
+            if answer.status != 200:
+                await trio.sleep(PULL_PAUSE_S)
+                continue
+            await self._take_in(term, answer.json())
+        if term < self.database.promised:
+            self._follows = None
+
+    async def _take_in(self, term: int, body: dict[str, Any]) -> None:
+        heard_at = trio.current_time()
+        records = [from_peer(record, Record) for record in body["records"]]
+        if records:
+            await trio.sleep(self.options.lag_ms / 1000)
+        await self._thaw()
+        if self.database.follow(term, body["common"], records):
+            self._heard_primary_at = heard_at
+            self._log_changed()
+
+    # Faults -------------------------------------------------------------
+
+    async def _thaw(self) -> None:
+        while self._frozen is not None:
+            await self._frozen.wait()
+
+    def freeze(self) -> None:
+        """Stop doing anything until `thaw`."""
+        if self._frozen is None:
+            self._frozen = trio.Event()
+
+    def thaw(self) -> None:
+        """Go on."""
+        if self._frozen is not None:
+            self._frozen.set()
+            self._frozen = None
+
+    def _fault(self, body: dict[str, Any]) -> HttpResponse:
+        for name, value in body.items():
+            match name:
+                case "frozen":
+                    self.freeze() if value else self.thaw()
+                case "leaving":
+                    self.database.leaving = value
+                case _:
+                    setattr(self.options, name, value)
+        return HttpResponse(200, {"runs": len(self.database.runs), "statements": self.statements})
+
+
+async def serve_endpoint(
+    endpoint: Endpoint,
+    transport: Transport,
+    address: str,
+    control_address: str,
+    task_status: trio.TaskStatus[tuple[str, str]] = trio.TASK_STATUS_IGNORED,
+) -> None:
+    """Serve ``endpoint`` for ever."""
+    async with trio.open_nursery() as nursery:
+        bound = await nursery.start(transport.serve, address, endpoint.statement_stream)
+        control = await nursery.start(transport.serve, control_address, endpoint.control_stream)
+        nursery.start_soon(endpoint.replicate)
+        task_status.started((bound, control))
--- /dev/null
+++ b/wharftiller/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the daemons and of operators."""
--- /dev/null
+++ b/wharftiller/cli/proxy.py
@@ -0,0 +1,36 @@
+"""The command `wharf-proxy`."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Annotated
+
+import typer
+
+from wharftiller.cli.daemon import run_daemon
+from wharftiller.daemons.proxy import ProxyDaemon
+from wharftiller.edges.transport import TcpTransport
+from wharftiller.settings import Settings
+
+
+def _daemon(settings: Settings) -> tuple[Callable[[], Awaitable[None]], Callable[[], None] | None]:
+    daemon = ProxyDaemon(settings, TcpTransport())
+    return daemon.run, daemon.stop
+
+
+def _command(
+    settings: Annotated[Path, typer.Option(help="The box's settings file.")],
+    check: Annotated[bool, typer.Option(help="Only check the settings.")] = False,
+) -> None:
+    """Serve callers' statements."""
+    run_daemon(settings, check, _daemon)
+
+
+def main() -> None:
+    """Run the command."""
+    typer.run(_command)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/wharftiller/core/admission.py
@@ -0,0 +1,124 @@
+"""Take a request in, or refuse it at once with when to come back."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+
+from wharftiller.core.answers import RETRY_AFTER_FAILOVER_MS, jittered, refuse
+from wharftiller.core.queueing import Line
+from wharftiller.core.reasons import Reason, ReasonKind
+from wharftiller.core.routing import allowed_age_s, choose_line
+from wharftiller.core.shares import connection_share
+from wharftiller.core.tables import RequestRow
+
+if TYPE_CHECKING:
+    from wharftiller.core.messages import Request
+    from wharftiller.core.tables import GroupRow, Tables
+
+
+def placement_fault(tables: Tables, request: Request) -> Reason | None:
+    """Return why the configuration has no place for ``request``, or None."""
+    configuration = tables.configuration
+    if configuration.generation == 0:
+        detail = "this box has no configuration yet; come back shortly or ask another box"
+        return Reason(ReasonKind.NO_CONFIGURATION, detail)
+    pool = configuration.pools.get(request.pool)
+    if pool is None:
+        detail = (
+            f"pool {request.pool!r} is not configured; this box knows "
+            f"{sorted(configuration.pools)}. Check the spelling, or confirm a plan that creates it"
+        )
+        return Reason(ReasonKind.UNKNOWN_POOL, detail)
+    if request.business not in pool.businesses:
+        detail = (
+            f"business {request.business!r} has no place in pool {request.pool!r}. "
+            "Confirm a plan that places it on a group"
+        )
+        return Reason(ReasonKind.UNKNOWN_BUSINESS, detail)
+    return None
+
+
+def admit(tables: Tables, key: int, request: Request, now: float) -> RequestRow | None:
+    """Put ``request`` in its line, or refuse it and return None."""
+    if tables.stopping:
+        detail = "this box is stopping; ask again, the balancer picks another"
+        refuse(tables, key, request, Reason(ReasonKind.BOX_STOPPING, detail), 1, now)
+        return None
+    fault = placement_fault(tables, request)
+    if fault is not None:
+        unready = fault.kind is ReasonKind.NO_CONFIGURATION
+        retry_after_ms = RETRY_AFTER_FAILOVER_MS if unready else None
+        refuse(tables, key, request, fault, retry_after_ms, now)
+        return None
+    row = new_row(tables, key, request, now)
+    group = tables.groups[row.group]
+    line = choose_line(tables, row, now)
+    refusal = _bound_refusal(tables, group, row, line)
+    if refusal is not None:
+        wait_s = _expected_wait_s(tables, group, row, line)
+        refuse(tables, key, request, refusal, jittered(tables, wait_s * 1000), now)
+        return None
+    take_in(tables, row)
+    group.queue.lines[line].push(request.business, key)
+    return row
+
+
+def new_row(tables: Tables, key: int, request: Request, now: float) -> RequestRow:
+    """Return a row for ``request`` with its configuration's rules."""
+    pool = tables.configuration.pools[request.pool]
+    age = allowed_age_s(request, pool)
+    row = RequestRow(
+        key=key,
+        request=request,
+        group=pool.businesses[request.business],
+        arrived_at=now,
+        deadline_at=now + request.deadline_ms / 1000,
+        to_primary=False,
+        replica_until=now + pool.read_rule.replica_wait_ms / 1000,
+        allowed_age_s=age,
+        primary_fallback=pool.read_rule.primary_fallback,
+        generation=tables.configuration.generation,
+    )
+    row.to_primary = row.is_booking or age is None
+    if age is None and not row.is_booking:
+        row.note(ReasonKind.LATEST_WANTED, "the read accepts no age, so the primary answers")
+    return row
+
+
+def take_in(tables: Tables, row: RequestRow) -> None:
+    """Enter ``row`` in the tables."""
+    tables.requests[row.key] = row
+    heapq.heappush(tables.deadlines, (row.deadline_at, row.key))
+
+
+def _bound_refusal(tables: Tables, group: GroupRow, row: RequestRow, line: Line) -> Reason | None:
+    rule = tables.configuration.pools[row.request.pool].queue_rule
+    queue = group.queue.lines[line]
+    bound = rule.bookings if row.is_booking else rule.lookups
+    if len(queue) >= bound:
+        detail = f"{len(queue)} requests wait, {bound} may; come back after retry_after_ms"
+        return Reason(ReasonKind.QUEUE_FULL, detail)
+    own = queue.waiting(row.request.business)
+    own_bound = max(1, int(bound * rule.business_share))
+    if own >= own_bound:
+        detail = f"{own} of this business wait, {own_bound} may; come back after retry_after_ms"
+        return Reason(ReasonKind.BUSINESS_QUEUE_FULL, detail)
+    wait_s = _expected_wait_s(tables, group, row, line)
+    if len(queue) and wait_s > row.deadline_at - row.arrived_at:
+        detail = (
+            f"about {wait_s * 1000:.0f} ms of waiting are ahead, the deadline is "
+            f"{row.request.deadline_ms} ms; come back after retry_after_ms"
+        )
+        return Reason(ReasonKind.DEADLINE_OUT_OF_REACH, detail)
+    return None
+
+
+def _expected_wait_s(tables: Tables, group: GroupRow, row: RequestRow, line: Line) -> float:
+    ahead = group.queue.ahead(line, row.request.business)
+    names = group.servers if line is Line.REPLICA_LOOKUP else (group.primary or group.servers[0],)
+    servers = [tables.servers[name] for name in names if name != group.primary or not row.tried]
+    spec = tables.configuration.groups[group.name]
+    share = connection_share(tables, spec.max_connections)
+    service_s = max(server.service_s for server in servers)
+    return (ahead + 1) * service_s / (share * len(servers))
--- /dev/null
+++ b/wharftiller/core/configuration.py
@@ -0,0 +1,215 @@
+"""The configuration that is agreed in the platform: pools, groups and their rules."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen
+class EndpointSpec:
+    """One database server.
+
+    Attributes
+    ----------
+    address, control_address : str
+        ``ip:port`` for statements, and for reports, fences and promotions.
+    leaving : bool
+        True once an operator has asked to drain it.
+    """
+
+    name: str
+    data_centre: str
+    address: str
+    control_address: str
+    leaving: bool = False
+
+
+@attrs.frozen
+class Capabilities:
+    """What the endpoints of a group can do beyond running statements.
+
+    Attributes
+    ----------
+    recorded_ids : bool
+        A request id is recorded in the same transaction as the write.
+    fence : bool
+        A server can be told to refuse every term below a given one.
+    """
+
+    recorded_ids: bool = True
+    fence: bool = True
+
+
+@attrs.frozen
+class WantedPrimary:
+    """An operator's wish that ``endpoint`` leads, and the plan that said so."""
+
+    endpoint: str
+    plan: str
+
+
+@attrs.frozen
+class GroupSpec:
+    """A database group: servers that hold the same data.
+
+    Attributes
+    ----------
+    slots : int
+        Statements one server runs at once.
+    max_connections : int
+        Statement connections one server accepts from all boxes together.
+    """
+
+    name: str
+    endpoints: tuple[EndpointSpec, ...]
+    slots: int = 3
+    max_connections: int = 25
+    capabilities: Capabilities = Capabilities()
+    wanted_primary: WantedPrimary | None = None
+
+
+@attrs.frozen
+class ReadRule:
+    """How an application may read.
+
+    Attributes
+    ----------
+    max_age_ms : int or None
+        Age allowed when a read names none; None means the latest data.
+    replica_wait_ms : int
+        How long a read waits for a replica before the primary may serve it.
+    primary_fallback : bool
+        Whether the primary serves a read that no replica may serve.
+    """
+
+    max_age_ms: int | None = None
+    replica_wait_ms: int = 20
+    primary_fallback: bool = True
+
+
+@attrs.frozen
+class WriteRule:
+    """How an application may write.
+
+    Attributes
+    ----------
+    transaction_idle_ms, transaction_length_ms : int
+        Bounds on a transaction's idle time and whole length.
+    """
+
+    transaction_idle_ms: int = 2_000
+    transaction_length_ms: int = 5_000
+
+
+@attrs.frozen
+class QueueRule:
+    """Bounds of a box's queues for a group.
+
+    Attributes
+    ----------
+    bookings, lookups : int
+        Requests that may wait, by class.
+    business_share : float
+        Part of a queue that one business may fill, in (0, 1].
+    """
+
+    bookings: int = 200
+    lookups: int = 200
+    business_share: float = 0.25
+
+
+@attrs.frozen
+class PoolSpec:
+    """A pool: businesses placed on groups, and the rules for their statements.
+
+    Attributes
+    ----------
+    businesses : dict of str to str
+        The group that holds each business's rows.
+    """
+
+    name: str
+    groups: tuple[str, ...]
+    businesses: dict[str, str] = attrs.field(factory=dict)
+    read_rule: ReadRule = ReadRule()
+    write_rule: WriteRule = WriteRule()
+    queue_rule: QueueRule = QueueRule()
+
+
+@attrs.frozen
+class Configuration:
+    """Everything in force at one generation."""
+
+    generation: int = 0
+    pools: dict[str, PoolSpec] = attrs.field(factory=dict)
+    groups: dict[str, GroupSpec] = attrs.field(factory=dict)
+
+
+def configuration_faults(configuration: Configuration) -> list[str]:
+    """Return one sentence per broken rule, each naming the remedy."""
+    faults: list[str] = []
+    for group in configuration.groups.values():
+        faults.extend(_group_faults(group))
+    for pool in configuration.pools.values():
+        faults.extend(_pool_faults(pool, configuration))
+    return faults
+
+
+def _group_faults(group: GroupSpec) -> list[str]:
+    faults = []
+    names = [endpoint.name for endpoint in group.endpoints]
+    if len(names) != 3:
+        faults.append(
+            f"group {group.name!r} has {len(names)} endpoints; the acknowledgement rule counts "
+            "two of three. Name exactly three endpoints."
+        )
+    if len(set(names)) != len(names):
+        faults.append(f"group {group.name!r} names an endpoint twice: {names}. Name each once.")
+    if group.slots < 1 or group.max_connections < 4:
+        faults.append(
+            f"group {group.name!r} has slots={group.slots}, max_connections="
+            f"{group.max_connections}; at least 1 and 4 are needed. Raise them."
+        )
+    if not group.capabilities.fence:
+        faults.append(
+            f"group {group.name!r} declares no fence; promotion is ordered by fences only. "
+            "Use endpoints that can be fenced."
+        )
+    wanted = group.wanted_primary
+    if wanted is not None and wanted.endpoint not in names:
+        faults.append(
+            f"group {group.name!r} wants primary {wanted.endpoint!r}, which is none of {names}. "
+            "Name one of them."
+        )
+    leaving = [endpoint.name for endpoint in group.endpoints if endpoint.leaving]
+    if len(leaving) > 1:
+        faults.append(
+            f"group {group.name!r} would have {leaving} leaving; with one server of three left "
+            "no write can be acknowledged. Drain one at a time."
+        )
+    return faults
+
+
+def _pool_faults(pool: PoolSpec, configuration: Configuration) -> list[str]:
+    faults = []
+    known = sorted(configuration.groups)
+    for group in pool.groups:
+        if group not in configuration.groups:
+            faults.append(
+                f"pool {pool.name!r} names group {group!r}, which is none of {known}. "
+                "Create the group first."
+            )
+    for business, group in pool.businesses.items():
+        if group not in pool.groups:
+            faults.append(
+                f"pool {pool.name!r} places business {business!r} on group {group!r}, which is "
+                f"none of its groups {sorted(pool.groups)}. Place it on one of them."
+            )
+    if not 0 < pool.queue_rule.business_share <= 1:
+        faults.append(
+            f"pool {pool.name!r} has business_share={pool.queue_rule.business_share}; it must "
+            "be above 0 and at most 1."
+        )
+    if min(pool.queue_rule.bookings, pool.queue_rule.lookups) < 1:
+        faults.append(f"pool {pool.name!r} has an empty queue bound. Set at least 1.")
+    return faults
--- /dev/null
+++ b/wharftiller/core/covering.py
@@ -0,0 +1,109 @@
+"""Whether an answer may be given: writes covered, reads confirmed.
+
+A write is safe when a second server, whose promised term and log term are both
+the write's term, reports a position that covers it (docs/design/acknowledgement.md).
+"""
+
+from __future__ import annotations
+
+import enum
+import math
+from typing import TYPE_CHECKING
+
+from wharftiller.core.messages import Action, EndpointAnswer, Role
+from wharftiller.core.positions import LogPosition
+from wharftiller.core.tables import safe_position
+
+if TYPE_CHECKING:
+    from wharftiller.core.tables import GroupRow, RequestRow, Tables
+
+
+class Check(enum.Enum):
+    """What is known of an answer."""
+
+    GOOD = "good"
+    WAIT = "wait"
+    BEHIND = "behind"
+    DEPOSED = "deposed"
+
+
+def is_covered(
+    tables: Tables, group: GroupRow, by: str, target: LogPosition, since: float = -math.inf
+) -> bool:
+    """Return whether a server other than ``by`` has reported ``target`` as kept.
+
+    Parameters
+    ----------
+    since : float
+        Only reports asked for at or after this time count, in seconds.
+    """
+    for name in group.servers:
+        server = tables.servers[name]
+        report = server.report
+        if name == by or report is None or server.report_sent_at < since:
+            continue
+        if report.promised != target.term or report.log_term != target.term:
+            continue
+        if report.position >= target.index:
+            return True
+    return False
+
+
+def cover_target(answer: EndpointAnswer) -> LogPosition:
+    """Return the position that must be covered before a primary's answer is given."""
+    report = answer.report
+    return safe_position(report.log_term, answer.position, report.opened)
+
+
+def answer_position(answer: EndpointAnswer) -> LogPosition:
+    """Return the position that a safe answer lets the session claim."""
+    if answer.report.role is Role.PRIMARY:
+        return cover_target(answer)
+    return answer.report.log_position
+
+
+def check_answer(tables: Tables, row: RequestRow, now: float) -> Check:
+    """Return whether the answer that ``row`` holds may be given now."""
+    answer = row.answer
+    assert answer is not None
+    group = tables.groups[row.group]
+    report = answer.report
+    if row.action is not Action.READ:
+        return _check_primary_answer(tables, row, group, now)
+    if not report.settled:
+        return Check.BEHIND
+    if report.log_position < row.request.session.position(row.group):
+        return Check.BEHIND
+    if report.role is Role.PRIMARY:
+        return _check_primary_answer(tables, row, group, now)
+    return _check_replica_answer(tables, row, group, now)
+
+
+def _check_primary_answer(tables: Tables, row: RequestRow, group: GroupRow, now: float) -> Check:
+    answer = row.answer
+    assert answer is not None
+    since = -math.inf
+    if row.action is Action.READ and row.request.transaction is None:
+        allowed = row.allowed_age_s
+        since = row.arrived_at if allowed is None else now - allowed
+    target = cover_target(answer)
+    if is_covered(tables, group, answer.report.endpoint, target, since):
+        return Check.GOOD
+    if group.term > target.term:
+        return Check.DEPOSED
+    return Check.WAIT
+
+
+def _check_replica_answer(tables: Tables, row: RequestRow, group: GroupRow, now: float) -> Check:
+    answer = row.answer
+    allowed = row.allowed_age_s
+    assert answer is not None
+    assert allowed is not None
+    position = answer.report.log_position
+    oldest = now - allowed
+    if group.fresh.fresh_as_of(position) >= oldest:
+        return Check.GOOD
+    newest = group.fresh.newest
+    if newest is not None and newest.at >= oldest:
+        return Check.BEHIND
+    return Check.WAIT
--- /dev/null
+++ b/wharftiller/core/dispatch.py
@@ -0,0 +1,239 @@
+"""Put waiting requests on connections, and open connections within the box's share."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wharftiller.core.messages import CloseConnection, OpenConnection, SendStatement
+from wharftiller.core.queueing import Line
+from wharftiller.core.reasons import ReasonKind
+from wharftiller.core.reports import want_report
+from wharftiller.core.routing import replica_objection, replicas_of, review_replica_lookups
+from wharftiller.core.shares import connection_share
+from wharftiller.core.tables import ConnectionRow, ConnectionState, Phase
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wharftiller.core.tables import GroupRow, RequestRow, ServerRow, Tables
+
+MINIMUM_SEND_MS = 1
+
+
+def dispatch(tables: Tables, group: GroupRow, now: float) -> None:
+    """Send what can be sent for ``group`` and open the connections that are missed."""
+    review_replica_lookups(tables, group, now)
+    _dispatch_replicas(tables, group, now)
+    _dispatch_primary(tables, group, now)
+
+
+def _dispatch_replicas(tables: Tables, group: GroupRow, now: float) -> None:
+    line = group.queue.lines[Line.REPLICA_LOOKUP]
+    servers = sorted(replicas_of(tables, group), key=_load_of(tables))
+    for server in servers:
+        if not line:
+            return
+
+        def fits(key: int, server: ServerRow = server) -> bool:
+            return replica_objection(tables, server, tables.requests[key], now) is None
+
+        while (connection := _idle_connection(tables, server)) is not None:
+            key = line.pop(fits)
+            if key is None:
+                break
+            _send(tables, tables.requests[key], server, connection, 0, now)
+        if line and any(fits(key) for key in line.items()[:8]):
+            _open_missing(tables, server, len(line), now)
+
+
+def _load_of(tables: Tables) -> Callable[[ServerRow], tuple[int, float]]:
+    def load(server: ServerRow) -> tuple[int, float]:
+        busy = sum(
+            1
+            for number in server.connections
+            if tables.connections[number].state is ConnectionState.BUSY
+        )
+        return (busy, tables.random.random())
+
+    return load
+
+
+def _dispatch_primary(tables: Tables, group: GroupRow, now: float) -> None:
+    server = tables.primary_of(group)
+    if server is None or now < group.hold_until:
+        return
+    lines = group.queue.lines
+    while True:
+        line = _next_primary_line(tables, group, server)
+        if line is None:
+            return
+        connection = _idle_connection(tables, server)
+        if connection is None:
+            waiting = sum(len(lines[each]) for each in _PRIMARY_LINES)
+            _open_missing(tables, server, waiting, now)
+            return
+        key = lines[line].pop()
+        assert key is not None
+        _send(tables, tables.requests[key], server, connection, group.term, now)
+
+
+_PRIMARY_LINES = (Line.SETTLING, Line.BOOKING, Line.PRIMARY_LOOKUP)
+
+
+def _next_primary_line(tables: Tables, group: GroupRow, server: ServerRow) -> Line | None:
+    for line in _PRIMARY_LINES:
+        if not group.queue.lines[line]:
+            continue
+        if line is Line.PRIMARY_LOOKUP and not _lookup_may_use(tables, group, server):
+            return None
+        return line
+    return None
+
+
+def _lookup_may_use(tables: Tables, group: GroupRow, server: ServerRow) -> bool:
+    """Keep one connection to the primary free of lookups, where there are two."""
+    spec = tables.configuration.groups[group.name]
+    share = connection_share(tables, spec.max_connections)
+    lookups = 0
+    for number in server.connections:
+        key = tables.connections[number].request
+        row = tables.requests.get(key) if key is not None else None
+        if row is not None and not row.is_booking:
+            lookups += 1
+    return lookups < max(1, share - 1)
+
+
+def may_pin(tables: Tables, group: GroupRow, server: ServerRow) -> bool:
+    """Return whether one more connection to ``server`` may be held by a transaction."""
+    spec = tables.configuration.groups[group.name]
+    share = connection_share(tables, spec.max_connections)
+    pinned = sum(
+        1
+        for number in server.connections
+        if tables.connections[number].state is ConnectionState.PINNED
+    )
+    return pinned < max(1, share - 1)
+
+
+def _idle_connection(tables: Tables, server: ServerRow) -> ConnectionRow | None:
+    for number in server.connections:
+        connection = tables.connections[number]
+        if connection.state is ConnectionState.IDLE:
+            return connection
+    return None
+
+
+def _open_missing(tables: Tables, server: ServerRow, waiting: int, now: float) -> None:
+    if now < server.retry_connect_at:
+        return
+    spec = tables.configuration.groups.get(server.group)
+    if spec is None:
+        return
+    share = connection_share(tables, spec.max_connections)
+    opening = sum(
+        1
+        for number in server.connections
+        if tables.connections[number].state is ConnectionState.OPENING
+    )
+    missing = min(share - len(server.connections), waiting - opening)
+    for _ in range(missing):
+        open_connection(tables, server)
+
+
+def open_connection(tables: Tables, server: ServerRow) -> None:
+    """Open one connection to ``server``."""
+    number = tables.next_number()
+    tables.connections[number] = ConnectionRow(number, server.name)
+    server.connections.append(number)
+    tables.emit(OpenConnection(number, server.name, server.address))
+    tables.count("connections.opened")
+
+
+def forget_connection(tables: Tables, connection: ConnectionRow) -> None:
+    """Drop the row of a connection that is gone."""
+    tables.connections.pop(connection.number, None)
+    server = tables.servers.get(connection.endpoint)
+    if server is not None and connection.number in server.connections:
+        server.connections.remove(connection.number)
+
+
+def close_connection(tables: Tables, connection: ConnectionRow) -> None:
+    """Close a connection at once; an answer owed on it is never delivered."""
+    forget_connection(tables, connection)
+    tables.emit(CloseConnection(connection.number))
+
+
+def _send(
+    tables: Tables,
+    row: RequestRow,
+    server: ServerRow,
+    connection: ConnectionRow,
+    term: int,
+    now: float,
+) -> None:
+    connection.state = ConnectionState.BUSY
+    send_on(tables, row, connection, term, now)
+    if row.allowed_age_s is not None:
+        _want_fresh_point(tables, row, now)
+    elif not row.is_booking:
+        _want_confirmation(tables, row, server, now)
+
+
+def send_on(
+    tables: Tables, row: RequestRow, connection: ConnectionRow, term: int, now: float
+) -> None:
+    """Send ``row`` on ``connection`` and wait for the answer."""
+    connection.request = row.key
+    row.phase = Phase.SENT
+    row.connection = connection.number
+    row.endpoint = connection.endpoint
+    row.sent_at = now
+    row.sent_term = term
+    row.answer = None
+    kind = ReasonKind.PRIMARY_CHOSEN if term else ReasonKind.REPLICA_CHOSEN
+    row.note(kind, f"sent to {connection.endpoint}, term {term}", connection.endpoint)
+    deadline_ms = max(MINIMUM_SEND_MS, round((row.deadline_at - now) * 1000))
+    tables.emit(
+        SendStatement(
+            connection.number,
+            row.request.request_id,
+            row.request.business,
+            row.action,
+            row.request.statement,
+            term,
+            deadline_ms,
+        )
+    )
+
+
+def _want_fresh_point(tables: Tables, row: RequestRow, now: float) -> None:
+    """Have a fresh point ready by the time a replica's answer comes."""
+    assert row.allowed_age_s is not None
+    group = tables.groups[row.group]
+    newest = group.fresh.newest
+    if newest is not None and now - newest.at <= row.allowed_age_s / 2:
+        return
+    for name in group.servers:
+        want_report(tables, tables.servers[name], now)
+
+
+def _want_confirmation(tables: Tables, row: RequestRow, server: ServerRow, now: float) -> None:
+    group = tables.groups[row.group]
+    for name in group.servers:
+        if name != server.name:
+            want_report(tables, tables.servers[name], now)
+
+
+def trim_connections(tables: Tables, now: float) -> None:
+    """Close idle connections beyond the box's share, and those to leaving servers."""
+    for server in tables.servers.values():
+        spec = tables.configuration.groups.get(server.group)
+        share = connection_share(tables, spec.max_connections) if spec else 0
+        if server.is_leaving and tables.groups[server.group].primary != server.name:
+            share = 0
+        excess = len(server.connections) - share
+        for number in list(server.connections):
+            connection = tables.connections[number]
+            if excess > 0 and connection.state is ConnectionState.IDLE:
+                close_connection(tables, connection)
+                excess -= 1
--- /dev/null
+++ b/wharftiller/core/lifecycle.py
@@ -0,0 +1,208 @@
+"""What becomes of a request after it was sent: answered, checked, lost, settled."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+
+from wharftiller.core import answers
+from wharftiller.core.covering import Check, check_answer, cover_target
+from wharftiller.core.dispatch import close_connection
+from wharftiller.core.messages import Action, EndpointAnswer, Lane, Role, Verdict
+from wharftiller.core.reasons import Reason, ReasonKind
+from wharftiller.core.reports import want_cover, want_report
+from wharftiller.core.routing import choose_line
+from wharftiller.core.tables import Phase
+
+if TYPE_CHECKING:
+    from wharftiller.core.tables import RequestRow, Tables
+
+HOLD_S = 0.01
+"""How long a group's primary is left alone after it refused a statement, in seconds."""
+
+SERVICE_WEIGHT = 0.1
+
+
+def requeue(tables: Tables, row: RequestRow, now: float) -> None:
+    """Put ``row`` back in a line."""
+    group = tables.groups[row.group]
+    group.checking.discard(row.key)
+    row.phase = Phase.QUEUED
+    row.connection = None
+    row.endpoint = None
+    row.answer = None
+    line = choose_line(tables, row, now)
+    group.queue.lines[line].push(row.request.business, row.key)
+
+
+def take_answer(tables: Tables, row: RequestRow, answer: EndpointAnswer, now: float) -> None:
+    """Take in an endpoint's answer to ``row``, sent on a connection that is free again."""
+    _learn_service_time(tables, row, now)
+    match answer.verdict:
+        case Verdict.RAN | Verdict.RECORDED | Verdict.BARRED:
+            if answer.verdict is Verdict.RECORDED:
+                row.note(ReasonKind.RECORDED_BEFORE, "its id is in the group's log already")
+            row.answer = answer
+            row.answered_at = now
+            row.phase = Phase.CHECKING
+            tables.groups[row.group].checking.add(row.key)
+            progress(tables, row, now)
+        case Verdict.NOT_RUN:
+            _refused(tables, row, answer, now)
+        case Verdict.REJECTED:
+            _rejected(tables, row, answer, now)
+
+
+def _learn_service_time(tables: Tables, row: RequestRow, now: float) -> None:
+    server = tables.servers.get(row.endpoint or "")
+    if server is not None:
+        server.service_s += SERVICE_WEIGHT * (now - row.sent_at - server.service_s)
+
+
+def _refused(tables: Tables, row: RequestRow, answer: EndpointAnswer, now: float) -> None:
+    name = answer.report.endpoint
+    row.note(ReasonKind.REFUSED_BY_ENDPOINT, f"{name}: {answer.why}", name)
+    group = tables.groups[row.group]
+    if row.sent_term:
+        group.hold_until = now + HOLD_S
+        for server in group.servers:
+            want_report(tables, tables.servers[server], now)
+    else:
+        row.tried.add(name)
+    requeue(tables, row, now)
+
+
+def _rejected(tables: Tables, row: RequestRow, answer: EndpointAnswer, now: float) -> None:
+    if row.uncertain:
+        settle(tables, row, now)
+        return
+    reason = Reason(ReasonKind.STATEMENT_REJECTED, answer.why, answer.report.endpoint)
+    answers.finish_not_run(tables, row, reason, None, now)
+
+
+def progress(tables: Tables, row: RequestRow, now: float) -> None:
+    """Give the answer that ``row`` holds, wait for a report, or go elsewhere."""
+    answer = row.answer
+    if row.phase is not Phase.CHECKING or answer is None:
+        return
+    match check_answer(tables, row, now):
+        case Check.GOOD:
+            _give_checked(tables, row, answer, now)
+        case Check.WAIT:
+            _want_reports(tables, row, answer, now)
+        case Check.BEHIND:
+            _answer_behind(tables, row, answer, now)
+        case Check.DEPOSED:
+            detail = f"{answer.report.endpoint} no longer leads; its answer is not kept"
+            row.note(ReasonKind.ANSWER_UNCOVERED, detail, answer.report.endpoint)
+            fate_unknown(tables, row, now)
+
+
+def _give_checked(tables: Tables, row: RequestRow, answer: EndpointAnswer, now: float) -> None:
+    if answer.verdict is not Verdict.BARRED:
+        answers.finish_done(tables, row, answer, now)
+        return
+    detail = "its id is barred, so it did not run and never will; use a new request id"
+    answers.finish_not_run(tables, row, Reason(ReasonKind.BARRED, detail), None, now)
+
+
+def _want_reports(tables: Tables, row: RequestRow, answer: EndpointAnswer, now: float) -> None:
+    group = tables.groups[row.group]
+    asked = answer.report.endpoint
+    for name in group.servers:
+        server = tables.servers[name]
+        if row.is_booking and name != asked:
+            want_cover(tables, server, cover_target(answer).index, now)
+        elif not row.is_booking and (name != asked or answer.report.role is Role.REPLICA):
+            _want_recent(tables, row, name, now)
+
+
+def _want_recent(tables: Tables, row: RequestRow, name: str, now: float) -> None:
+    server = tables.servers[name]
+    sent_at = server.lanes[Lane.NOW].sent_at
+    if sent_at is None or sent_at < row.arrived_at:
+        want_report(tables, server, now)
+
+
+def _answer_behind(tables: Tables, row: RequestRow, answer: EndpointAnswer, now: float) -> None:
+    report = answer.report
+    detail = f"{report.endpoint} answered at ({report.log_term}, {report.position})"
+    row.note(ReasonKind.ANSWER_BEHIND, detail, report.endpoint)
+    tables.count("answers.thrown_away")
+    if report.role is Role.PRIMARY:
+        tables.groups[row.group].hold_until = now + HOLD_S
+    else:
+        row.tried.add(report.endpoint)
+    requeue(tables, row, now)
+
+
+def lost(tables: Tables, row: RequestRow, now: float) -> None:
+    """Deal with an answer that will not come."""
+    row.note(ReasonKind.ANSWER_LOST, f"{row.endpoint} broke off", row.endpoint)
+    if row.endpoint and not row.sent_term:
+        row.tried.add(row.endpoint)
+    fate_unknown(tables, row, now)
+
+
+def fate_unknown(tables: Tables, row: RequestRow, now: float) -> None:
+    """Go on with a request that was sent and whose answer cannot be used."""
+    action = row.request.action
+    if row.settling:
+        requeue(tables, row, now)
+    elif action in (Action.READ, Action.BEGIN):
+        _retry(tables, row, now)
+    elif row.request.repeatable and action is Action.WRITE:
+        row.uncertain = True
+        _retry(tables, row, now)
+    else:
+        row.uncertain = True
+        settle(tables, row, now)
+
+
+def _retry(tables: Tables, row: RequestRow, now: float) -> None:
+    if tables.retry_tokens < 1:
+        detail = "retries are a tenth of successes and used up; come back after retry_after_ms"
+        reason = Reason(ReasonKind.RETRY_BUDGET_SPENT, detail)
+        answers.finish_unknown(tables, row, reason, now)
+        return
+    tables.retry_tokens -= 1
+    tables.count("retries")
+    requeue(tables, row, now)
+
+
+def settle(tables: Tables, row: RequestRow, now: float) -> None:
+    """Ask the group's log what became of a write that may not be sent again."""
+    spec = tables.configuration.groups.get(row.group)
+    if spec is None or not spec.capabilities.recorded_ids:
+        detail = f"group {row.group!r} records no request ids, so its fate cannot be asked for"
+        answers.finish_unknown(tables, row, Reason(ReasonKind.ANSWER_LOST, detail), now)
+        return
+    row.settling = True
+    row.note(ReasonKind.SETTLING, "asking the log; the id is barred unless recorded")
+    requeue(tables, row, now)
+
+
+def expire(tables: Tables, now: float) -> None:
+    """Give the final answer to every request whose deadline has passed."""
+    while tables.deadlines and tables.deadlines[0][0] <= now:
+        _, key = heapq.heappop(tables.deadlines)
+        row = tables.requests.get(key)
+        if row is not None:
+            _expire_row(tables, row, now)
+
+
+def _expire_row(tables: Tables, row: RequestRow, now: float) -> None:
+    group = tables.groups[row.group]
+    for line in group.queue.lines.values():
+        line.remove(row.request.business, row.key)
+    if row.phase is Phase.SENT and row.connection is not None:
+        connection = tables.connections.get(row.connection)
+        if connection is not None:
+            close_connection(tables, connection)
+    detail = f"{row.request.deadline_ms} ms have passed in phase {row.phase.value}"
+    reason = Reason(ReasonKind.DEADLINE_PASSED, detail)
+    if row.phase is Phase.QUEUED and not row.uncertain:
+        retry_after_ms = answers.jittered(tables, answers.RETRY_AFTER_FAILOVER_MS)
+        answers.finish_not_run(tables, row, reason, retry_after_ms, now)
+    else:
+        answers.finish_unknown(tables, row, reason, now)
--- /dev/null
+++ b/wharftiller/core/promotion.py
@@ -0,0 +1,448 @@
+"""Order promotions: take a term, fence, choose, promote, record.
+
+Safety rests on terms and counting only; time decides nothing but who acts and
+when (docs/design/promotion.md).
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from wharftiller.core.messages import Role
+from wharftiller.core.rendezvous import rank
+from wharftiller.core.steward_messages import (
+    GiveOrder,
+    GroupRecord,
+    LeadState,
+    Narrate,
+    NoticePrimary,
+    Order,
+    OrderAnswered,
+    OrderLost,
+    ReadRecord,
+    RecordRead,
+    UpdateRecord,
+)
+from wharftiller.core.watch_tables import (
+    CatchingUp,
+    Fencing,
+    Promoting,
+    Quiescing,
+    Reading,
+    Recording,
+    Step,
+    TakingTerm,
+    Watching,
+    Wish,
+)
+
+if TYPE_CHECKING:
+    from wharftiller.core.messages import Report
+    from wharftiller.core.watch_tables import WatchedGroup, WatchedServer, WatchTables
+
+RANK_DELAY_S = 0.25
+"""Each rank of steward waits this much longer before it acts, in seconds."""
+
+MOST_RANKS = 4
+ATTEMPT_S = 3.0
+PLANNED_ATTEMPT_S = 8.0
+LEASE_S = 1.0
+"""How long a term just taken by another steward is left to it, in seconds."""
+
+RECENT_S = 0.5
+SECOND_REPLICA_WAIT_S = 0.1
+TARGET_LAG_RECORDS = 1_000
+QUIESCE_HOLD_MS = 2_000
+ORDER_AGAIN_S = 0.1
+MAJORITY = 2
+
+
+def consider(tables: WatchTables, group: WatchedGroup, now: float) -> None:
+    """Start an attempt if the primary is lost or a change is wanted, or push one on."""
+    if not isinstance(group.step, Watching):
+        _push_on(tables, group, now)
+        return
+    if now < group.next_try_at:
+        return
+    delay = RANK_DELAY_S * min(rank(group.spec.name, tables.boxes, tables.box), MOST_RANKS)
+    if _primary_is_lost(tables, group, now, delay):
+        _start(tables, group, None, now)
+        return
+    wish = _wish(tables, group)
+    if wish is None:
+        group.wished_at = None
+    elif group.wished_at is None:
+        group.wished_at = now
+    elif now - group.wished_at >= delay:
+        _start(tables, group, wish, now)
+
+
+def _heard(tables: WatchTables, name: str, now: float) -> bool:
+    server = tables.servers[name]
+    return server.report is not None and now - server.heard_at <= RECENT_S
+
+
+def _primary_is_lost(tables: WatchTables, group: WatchedGroup, now: float, delay: float) -> bool:
+    others = [name for name in group.names if name != group.primary]
+    heard = [name for name in others if _heard(tables, name, now)]
+    if len(heard) < MAJORITY:
+        return False
+    silent_s = _silence(tables, group, now)
+    cut_off = [name for name in heard if _lost_its_primary(tables, name)]
+    if len(cut_off) == len(heard):
+        return silent_s >= tables.detect_s + delay or _all_cut_off(tables, group, heard, delay)
+    return silent_s >= 3 * tables.detect_s + delay
+
+
+def _silence(tables: WatchTables, group: WatchedGroup, now: float) -> float:
+    primary = tables.server(group.primary)
+    return now - (group.since if primary is None else primary.heard_at)
+
+
+def _lost_its_primary(tables: WatchTables, name: str) -> bool:
+    report = tables.servers[name].report
+    return report is not None and report.primary_silent_ms >= tables.detect_s * 500
+
+
+def _all_cut_off(tables: WatchTables, group: WatchedGroup, heard: list[str], delay: float) -> bool:
+    """Return whether no replica hears the primary any more, though this box may."""
+    if group.primary is None:
+        return False
+    longest = (2 * tables.detect_s + delay) * 1000
+    reports = [tables.servers[name].report for name in heard]
+    return all(
+        report is not None
+        and report.settled
+        and report.log_term == group.term
+        and report.primary_silent_ms >= longest
+        for report in reports
+    )
+
+
+def _wish(tables: WatchTables, group: WatchedGroup) -> Wish | None:
+    primary = tables.server(group.primary)
+    if primary is None or primary.report is None:
+        return None
+    wanted = group.spec.wanted_primary
+    if wanted is not None and wanted.plan not in group.done_plans:
+        if wanted.endpoint == group.primary:
+            group.done_plans.add(wanted.plan)
+        elif _may_lead(tables, group, wanted.endpoint):
+            return Wish(wanted.endpoint, wanted.plan)
+    if primary.leaving or primary.report.leaving:
+        targets = [name for name in group.names if _may_lead(tables, group, name)]
+        if targets:
+            return Wish(max(targets, key=lambda name: _position(tables, name)), "")
+    return None
+
+
+def _position(tables: WatchTables, name: str) -> int:
+    report = tables.servers[name].report
+    return report.position if report else 0
+
+
+def _may_lead(tables: WatchTables, group: WatchedGroup, name: str) -> bool:
+    server = tables.servers[name]
+    report = server.report
+    if name == group.primary or server.leaving or report is None or report.leaving:
+        return False
+    close = _position(tables, group.primary or "") - report.position <= TARGET_LAG_RECORDS
+    return report.settled and report.log_term == group.term and close
+
+
+def _start(tables: WatchTables, group: WatchedGroup, wish: Wish | None, now: float) -> None:
+    group.wish = wish
+    group.started_at = now
+    if wish is None:
+        silent_s = _silence(tables, group, now)
+        text = f"has no primary answer for {silent_s:.1f} s; starting promotion"
+    else:
+        text = f"changes its primary to {wish.target} as planned"
+    tables.emit(Narrate(group.spec.name, text))
+    _go(group, Reading(), now)
+    tables.emit(ReadRecord(group.spec.name))
+
+
+def _go(group: WatchedGroup, step: Step, now: float) -> None:
+    group.step = step
+    group.step_at = now
+    group.orders_out.clear()
+
+
+def abandon(tables: WatchTables, group: WatchedGroup, wait_s: float, now: float, why: str) -> None:
+    """Give the attempt up and try again no sooner than ``wait_s`` seconds from now."""
+    if not isinstance(group.step, Watching):
+        tables.emit(Narrate(group.spec.name, f"promotion is given up: {why}"))
+    if isinstance(group.step, Quiescing | CatchingUp):
+        group.orders_out.clear()
+        _order(tables, group, group.primary, Order.QUIESCE, level=0)
+    _go(group, Watching(), now)
+    group.next_try_at = now + wait_s * tables.random.uniform(1.0, 1.3)
+
+
+def record_read(tables: WatchTables, group: WatchedGroup, read: RecordRead, now: float) -> None:
+    """Go on with the group's record, unless another steward is at work."""
+    if not isinstance(group.step, Reading):
+        return
+    seen_version, seen_at = group.record_seen
+    if read.version != seen_version:
+        seen_at = now
+        group.record_seen = (read.version, now)
+    group.record = read.record
+    group.version = read.version
+    left_s = LEASE_S - (now - seen_at)
+    if _another_is_at_work(tables, group, read.record) and left_s > 0:
+        abandon(tables, group, left_s, now, f"{read.record.owner} took term {read.record.term}")
+        return
+    if group.wish is not None and group.wish.plan and group.wish.plan == read.record.done_plan:
+        group.done_plans.add(group.wish.plan)
+        abandon(tables, group, 0.0, now, "the change was carried out already")
+        return
+    _take_term(tables, group, now)
+
+
+def _another_is_at_work(tables: WatchTables, group: WatchedGroup, record: GroupRecord) -> bool:
+    """Return whether another steward takes a term, or has just led one this box knows not of."""
+    if record.owner == tables.box:
+        return False
+    return record.state is LeadState.TAKING or record.term > group.term
+
+
+def _take_term(tables: WatchTables, group: WatchedGroup, now: float) -> None:
+    promised = [
+        server.report.promised
+        for name in group.names
+        if (server := tables.servers[name]).report is not None
+    ]
+    term = max(group.record.term, group.term, *promised, 0) + 1
+    taken = attrs.evolve(
+        group.record, term=term, owner=tables.box, state=LeadState.TAKING, primary=""
+    )
+    group.record = taken
+    _go(group, TakingTerm(term), now)
+    tables.emit(UpdateRecord(group.spec.name, taken, group.version))
+
+
+def record_updated(tables: WatchTables, group: WatchedGroup, version: int, now: float) -> None:
+    """Go on once the term is taken, or end once the primary is recorded."""
+    match group.step:
+        case TakingTerm(term):
+            group.version = version
+            group.record_seen = (version, now)
+            if group.wish is None:
+                _fence(tables, group, term, now)
+            else:
+                _go(group, Quiescing(term, writes_too=False), now)
+                _push_on(tables, group, now)
+        case Recording(term, chosen):
+            group.version = version
+            if group.wish is not None and group.wish.plan:
+                group.done_plans.add(group.wish.plan)
+            tables.emit(Narrate(group.spec.name, f"{chosen} leads term {term}, recorded"))
+            _go(group, Watching(), now)
+            group.next_try_at = now
+
+
+def _fence(tables: WatchTables, group: WatchedGroup, term: int, now: float) -> None:
+    _go(group, Fencing(term, now, {}), now)
+    _push_on(tables, group, now)
+
+
+def _push_on(tables: WatchTables, group: WatchedGroup, now: float) -> None:
+    """Give the orders that the step misses, or give the attempt up when it takes too long."""
+    longest = ATTEMPT_S if group.wish is None else PLANNED_ATTEMPT_S
+    if now - group.started_at > longest:
+        abandon(tables, group, tables.detect_s / 2, now, f"{longest} s have passed")
+        return
+    if group.wish is not None and _primary_is_lost(tables, group, now, 0.0):
+        abandon(tables, group, 0.0, now, "the primary was lost meanwhile")
+        return
+    match group.step:
+        case Quiescing(_, writes_too):
+            _order(tables, group, group.primary, Order.QUIESCE, level=2 if writes_too else 1)
+        case CatchingUp(term, position):
+            _check_caught_up(tables, group, term, position, now)
+        case Fencing(term, started_at, replies):
+            for name in group.names:
+                if name not in replies:
+                    _order(tables, group, name, Order.FENCE)
+            if now - started_at >= SECOND_REPLICA_WAIT_S:
+                _choose(tables, group, term, replies, now)
+        case Promoting(_, chosen):
+            _order(tables, group, chosen, Order.PROMOTE)
+
+
+def _order(
+    tables: WatchTables, group: WatchedGroup, name: str | None, order: Order, level: int = 0
+) -> None:
+    server = tables.server(name)
+    term = getattr(group.step, "term", 0)
+    if server is None or (server.name, order) in group.orders_out:
+        return
+    group.orders_out.add((server.name, order))
+    asked_term = group.term if order is Order.QUIESCE else term
+    tables.emit(
+        GiveOrder(
+            group.spec.name,
+            server.name,
+            server.control_address,
+            order,
+            asked_term,
+            level=level,
+            hold_ms=QUIESCE_HOLD_MS if level else 0,
+        )
+    )
+
+
+def order_lost(tables: WatchTables, group: WatchedGroup, lost: OrderLost, now: float) -> None:
+    """Let the order be given again."""
+    group.orders_out.discard((lost.endpoint, lost.order))
+
+
+def order_answered(
+    tables: WatchTables, group: WatchedGroup, answered: OrderAnswered, now: float
+) -> None:
+    """Take in a server's answer to an order of the step under way."""
+    group.orders_out.discard((answered.endpoint, answered.order))
+    report = answered.report
+    match (group.step, answered.order):
+        case (Quiescing(term, writes_too), Order.QUIESCE):
+            _quiesced(tables, group, term, writes_too, answered, now)
+        case (Fencing(term, started_at, replies), Order.FENCE) if answered.term == term:
+            if not answered.accepted:
+                why = f"{answered.endpoint} has promised term {report.promised}"
+                abandon(tables, group, tables.detect_s / 2, now, why)
+                return
+            replies = {**replies, answered.endpoint: report}
+            group.step = Fencing(term, started_at, replies)
+            _choose_early(tables, group, term, replies, now)
+        case (Promoting(term, chosen), Order.PROMOTE) if answered.term == term:
+            if answered.accepted:
+                _promoted(tables, group, term, chosen, now)
+            else:
+                abandon(tables, group, tables.detect_s / 2, now, f"{chosen} refuses to lead")
+
+
+def _quiesced(
+    tables: WatchTables,
+    group: WatchedGroup,
+    term: int,
+    writes_too: bool,
+    answered: OrderAnswered,
+    now: float,
+) -> None:
+    if not answered.accepted:
+        abandon(tables, group, tables.detect_s / 2, now, "the primary refuses to quiesce")
+        return
+    if not writes_too:
+        if answered.report.open_transactions == 0:
+            _go(group, Quiescing(term, writes_too=True), now)
+            _push_on(tables, group, now)
+        return
+    _go(group, CatchingUp(term, answered.report.position), now)
+    _check_caught_up(tables, group, term, answered.report.position, now)
+
+
+def _check_caught_up(
+    tables: WatchTables, group: WatchedGroup, term: int, position: int, now: float
+) -> None:
+    assert group.wish is not None
+    target = tables.servers[group.wish.target]
+    if target.report is not None and target.report.position >= position:
+        _fence(tables, group, term, now)
+    else:
+        target.last_asked_at = -1e9
+
+
+def _choose_early(
+    tables: WatchTables,
+    group: WatchedGroup,
+    term: int,
+    replies: dict[str, Report],
+    now: float,
+) -> None:
+    """Choose at once when a majority without the old primary, or every server, answered."""
+    without_old = [name for name in replies if name != group.primary]
+    target_in = group.wish is not None and group.wish.target in replies
+    if len(without_old) >= MAJORITY or (target_in and len(replies) >= MAJORITY):
+        _choose(tables, group, term, replies, now)
+
+
+def _choose(
+    tables: WatchTables,
+    group: WatchedGroup,
+    term: int,
+    replies: dict[str, Report],
+    now: float,
+) -> None:
+    """Choose the most advanced of a fenced majority."""
+    if len(replies) < MAJORITY:
+        return
+    candidates = dict(replies)
+    others = {name: report for name, report in replies.items() if name != group.primary}
+    if len(others) >= MAJORITY:
+        candidates = others
+    chosen = max(candidates, key=lambda name: _preference(tables, group, candidates[name]))
+    tables.emit(Narrate(group.spec.name, f"{chosen} is chosen for term {term}"))
+    _go(group, Promoting(term, chosen), now)
+    _push_on(tables, group, now)
+
+
+def _preference(
+    tables: WatchTables, group: WatchedGroup, report: Report
+) -> tuple[int, int, bool, bool, str]:
+    wanted = group.wish is not None and group.wish.target == report.endpoint
+    staying = not (report.leaving or tables.servers[report.endpoint].leaving)
+    return (report.log_term, report.position, wanted, staying, report.endpoint)
+
+
+def _promoted(tables: WatchTables, group: WatchedGroup, term: int, chosen: str, now: float) -> None:
+    group.term = term
+    group.primary = chosen
+    tables.servers[chosen].heard_at = now
+    tables.emit(NoticePrimary(group.spec.name, term, chosen))
+    for name in group.names:
+        if name != chosen:
+            _follow(tables, group, tables.servers[name], now)
+    plan = group.wish.plan if group.wish and group.wish.plan else group.record.done_plan
+    record = GroupRecord(term, tables.box, LeadState.LED, chosen, plan)
+    _go(group, Recording(term, chosen), now)
+    tables.emit(UpdateRecord(group.spec.name, record, group.version))
+
+
+def _follow(tables: WatchTables, group: WatchedGroup, server: WatchedServer, now: float) -> None:
+    primary = tables.server(group.primary)
+    if primary is None:
+        return
+    server.followed_at = now
+    tables.emit(
+        GiveOrder(
+            group.spec.name,
+            server.name,
+            server.control_address,
+            Order.FOLLOW,
+            group.term,
+            primary_address=primary.control_address,
+        )
+    )
+
+
+FOLLOW_AGAIN_S = 0.3
+
+
+def remind_followers(tables: WatchTables, group: WatchedGroup, now: float) -> None:
+    """Tell servers that lack the newest term whom to follow."""
+    primary = tables.server(group.primary)
+    if primary is None or primary.report is None or primary.report.role is not Role.PRIMARY:
+        return
+    for name in group.names:
+        server = tables.servers[name]
+        report = server.report
+        if server is primary or report is None or now - server.followed_at < FOLLOW_AGAIN_S:
+            continue
+        astray = report.log_term < group.term
+        deaf = report.primary_silent_ms > tables.detect_s * 1000
+        if report.promised <= group.term and (astray or deaf):
+            _follow(tables, group, server, now)
--- /dev/null
+++ b/wharftiller/core/spreading.py
@@ -0,0 +1,126 @@
+"""Hold the newest configuration, and tell others what changed since theirs."""
+
+from __future__ import annotations
+
+import collections
+
+import attrs
+
+from wharftiller.core.configuration import Configuration, GroupSpec, PoolSpec
+from wharftiller.core.rendezvous import ranked
+
+CHANGES_KEPT = 64
+RELAYS = 3
+"""Boxes of a data centre that watch the platform for the others."""
+
+
+@attrs.frozen
+class ConfigurationChange:
+    """What leads from one generation to a later one.
+
+    Attributes
+    ----------
+    base : int
+        The generation it starts from; 0 when it is the whole configuration.
+    removed_groups, removed_pools : tuple of str
+        Names that are gone.
+    """
+
+    base: int
+    generation: int
+    groups: dict[str, GroupSpec] = attrs.field(factory=dict)
+    pools: dict[str, PoolSpec] = attrs.field(factory=dict)
+    removed_groups: tuple[str, ...] = ()
+    removed_pools: tuple[str, ...] = ()
+
+
+def change_between(old: Configuration, new: Configuration) -> ConfigurationChange:
+    """Return the change that leads from ``old`` to ``new``."""
+    return ConfigurationChange(
+        old.generation,
+        new.generation,
+        {name: spec for name, spec in new.groups.items() if old.groups.get(name) != spec},
+        {name: spec for name, spec in new.pools.items() if old.pools.get(name) != spec},
+        tuple(name for name in old.groups if name not in new.groups),
+        tuple(name for name in old.pools if name not in new.pools),
+    )
+
+
+def changed(old: Configuration, change: ConfigurationChange) -> Configuration | None:
+    """Return ``old`` with ``change``; None if it starts from another generation."""
+    if change.base not in (0, old.generation):
+        return None
+    start = old if change.base else Configuration()
+    groups = {**start.groups, **change.groups}
+    pools = {**start.pools, **change.pools}
+    for name in change.removed_groups:
+        groups.pop(name, None)
+    for name in change.removed_pools:
+        pools.pop(name, None)
+    return Configuration(change.generation, pools, groups)
+
+
+@attrs.define
+class ConfigurationHolder:
+    """The newest configuration of this box; it never goes back a generation."""
+
+    _current: Configuration = attrs.field(factory=Configuration)
+    _changes: collections.deque[ConfigurationChange] = attrs.field(
+        factory=lambda: collections.deque(maxlen=CHANGES_KEPT)
+    )
+
+    @property
+    def current(self) -> Configuration:
+        """The configuration in force."""
+        return self._current
+
+    def take(self, configuration: Configuration) -> bool:
+        """Put ``configuration`` in force if it is newer."""
+        if configuration.generation <= self._current.generation:
+            return False
+        self._changes.append(change_between(self._current, configuration))
+        self._current = configuration
+        return True
+
+    def take_change(self, change: ConfigurationChange) -> bool:
+        """Put the result of ``change`` in force if it fits and is newer."""
+        configuration = changed(self._current, change)
+        return configuration is not None and self.take(configuration)
+
+    def change_since(self, generation: int) -> ConfigurationChange:
+        """Return what leads from ``generation`` to the current configuration."""
+        if generation and any(change.base == generation for change in self._changes):
+            return self._merged_since(generation)
+        return change_between(Configuration(), self._current)
+
+    def _merged_since(self, generation: int) -> ConfigurationChange:
+        old = Configuration(generation)
+        merged = ConfigurationChange(generation, generation)
+        for change in self._changes:
+            if change.base == merged.generation:
+                merged = _merge(merged, change)
+        return attrs.evolve(merged, base=old.generation)
+
+
+def _merge(first: ConfigurationChange, then: ConfigurationChange) -> ConfigurationChange:
+    groups = {**first.groups, **then.groups}
+    pools = {**first.pools, **then.pools}
+    for name in then.removed_groups:
+        groups.pop(name, None)
+    for name in then.removed_pools:
+        pools.pop(name, None)
+    removed_groups = {*first.removed_groups, *then.removed_groups} - set(groups)
+    removed_pools = {*first.removed_pools, *then.removed_pools} - set(pools)
+    return ConfigurationChange(
+        first.base,
+        then.generation,
+        groups,
+        pools,
+        tuple(sorted(removed_groups)),
+        tuple(sorted(removed_pools)),
+    )
+
+
+def relays(data_centre: str, boxes: list[str]) -> list[str]:
+    """Return the boxes that watch the platform for ``data_centre``, in order."""
+    return ranked(f"relay/{data_centre}", boxes)[:RELAYS]
--- /dev/null
+++ b/wharftiller/core/steward.py
@@ -0,0 +1,166 @@
+"""The steward's core: one step per input, returning what is to be done."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wharftiller.core import promotion
+from wharftiller.core.messages import BoxesListed, ConfigurationArrived, Report, Role, Tick
+from wharftiller.core.steward_messages import (
+    AskReport,
+    OrderAnswered,
+    OrderLost,
+    PlatformFailed,
+    RecordConflict,
+    RecordRead,
+    RecordUpdated,
+    ServerReported,
+    ServerSilent,
+    StewardInput,
+    StewardOutput,
+)
+from wharftiller.core.watch_tables import (
+    Recording,
+    WatchedGroup,
+    WatchedServer,
+    Watching,
+    WatchTables,
+)
+
+if TYPE_CHECKING:
+    import random
+
+    from wharftiller.core.configuration import Configuration
+
+PROBE_S = 0.2
+"""Time between two reports of a server, in seconds."""
+
+PAUSE_S = 0.6
+"""A gap between ticks beyond which this process must have been paused, in seconds."""
+
+PLATFORM_AGAIN_S = 0.2
+
+
+class StewardCore:
+    """Decides for one steward; holds no socket and no clock.
+
+    Parameters
+    ----------
+    box : str
+        Name of the box.
+    detect_s : float
+        Silence after which a primary is taken for lost, in seconds.
+    """
+
+    def __init__(self, box: str, random: random.Random, detect_s: float = 1.0) -> None:
+        self._tables = WatchTables(box, random, detect_s)
+
+    @property
+    def tables(self) -> WatchTables:
+        """The rows, for the shell's views and for tests."""
+        return self._tables
+
+    def handle(self, message: StewardInput, now: float) -> list[StewardOutput]:
+        """Take one input at ``now`` (monotonic seconds) and return what is to be done."""
+        match message:
+            case ServerReported(name, _, report):
+                self._reported(name, report, now)
+            case ServerSilent(name, _):
+                self._silent(name)
+            case ConfigurationArrived(configuration):
+                self._configure(configuration, now)
+            case BoxesListed(names):
+                self._tables.boxes = names
+            case Tick():
+                self._tick(now)
+            case _:
+                self._about_group(message, now)
+        taken, self._tables.outputs = self._tables.outputs, []
+        return taken
+
+    def _about_group(self, message: StewardInput, now: float) -> None:
+        tables = self._tables
+        group = tables.groups.get(getattr(message, "group", ""))
+        if group is None:
+            return
+        match message:
+            case RecordRead():
+                promotion.record_read(tables, group, message, now)
+            case RecordUpdated(_, version):
+                promotion.record_updated(tables, group, version, now)
+            case RecordConflict():
+                why = "another steward changed the group's record"
+                wait_s = 0.0 if isinstance(group.step, Recording) else promotion.LEASE_S
+                promotion.abandon(tables, group, wait_s, now, why)
+            case PlatformFailed():
+                why = "the platform does not answer"
+                promotion.abandon(tables, group, PLATFORM_AGAIN_S, now, why)
+            case OrderAnswered():
+                self._learn(message.endpoint, message.report, now)
+                promotion.order_answered(tables, group, message, now)
+            case OrderLost():
+                promotion.order_lost(tables, group, message, now)
+
+    def _reported(self, name: str, report: Report, now: float) -> None:
+        server = self._tables.servers.get(name)
+        if server is None:
+            return
+        server.asked_at = None
+        self._learn(name, report, now)
+        promotion.consider(self._tables, self._tables.groups[server.group], now)
+
+    def _learn(self, name: str, report: Report, now: float) -> None:
+        server = self._tables.servers.get(name)
+        if server is None:
+            return
+        server.report = report
+        server.heard_at = now
+        group = self._tables.groups[server.group]
+        if report.role is Role.PRIMARY and report.settled and report.promised > group.term:
+            group.term = report.promised
+            group.primary = name
+
+    def _silent(self, name: str) -> None:
+        server = self._tables.servers.get(name)
+        if server is not None:
+            server.asked_at = None
+
+    def _configure(self, configuration: Configuration, now: float) -> None:
+        tables = self._tables
+        if configuration.generation <= tables.configuration.generation:
+            return
+        tables.configuration = configuration
+        for spec in configuration.groups.values():
+            group = tables.groups.get(spec.name)
+            if group is None:
+                tables.groups[spec.name] = WatchedGroup(spec, since=now)
+            else:
+                group.spec = spec
+            for endpoint in spec.endpoints:
+                row = tables.servers.get(endpoint.name)
+                if row is None:
+                    row = WatchedServer(endpoint.name, spec.name, "", False, heard_at=now)
+                    tables.servers[endpoint.name] = row
+                row.control_address = endpoint.control_address
+                row.leaving = endpoint.leaving
+
+    def _tick(self, now: float) -> None:
+        self._notice_pause(now)
+        for server in self._tables.servers.values():
+            if server.asked_at is None and now - server.last_asked_at >= PROBE_S:
+                server.asked_at = now
+                server.last_asked_at = now
+                self._tables.emit(AskReport(server.name, server.control_address))
+        for group in self._tables.groups.values():
+            promotion.consider(self._tables, group, now)
+            if isinstance(group.step, Watching):
+                promotion.remind_followers(self._tables, group, now)
+
+    def _notice_pause(self, now: float) -> None:
+        """After a pause of this process, give every server a fresh chance to answer."""
+        ticked_at = self._tables.ticked_at
+        self._tables.ticked_at = now
+        if ticked_at is None or now - ticked_at < PAUSE_S:
+            return
+        for server in self._tables.servers.values():
+            server.heard_at = now
--- /dev/null
+++ b/wharftiller/core/watch_tables.py
@@ -0,0 +1,178 @@
+"""The steward's tables: watched groups and servers, and the steps of a promotion."""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+from wharftiller.core.configuration import Configuration, GroupSpec
+from wharftiller.core.messages import Report
+from wharftiller.core.steward_messages import GroupRecord, Order, StewardOutput
+
+
+@attrs.frozen
+class Watching:
+    """Nothing is under way."""
+
+
+@attrs.frozen
+class Reading:
+    """The group's record is being read from the platform."""
+
+
+@attrs.frozen
+class TakingTerm:
+    """The next term is being taken by a conditional update."""
+
+    term: int
+
+
+@attrs.frozen
+class Quiescing:
+    """A planned change: the old primary finishes what it has.
+
+    Attributes
+    ----------
+    writes_too : bool
+        False while only new transactions are refused.
+    """
+
+    term: int
+    writes_too: bool
+
+
+@attrs.frozen
+class CatchingUp:
+    """A planned change: the target's log has to reach ``position``."""
+
+    term: int
+    position: int
+
+
+@attrs.frozen
+class Fencing:
+    """Servers are asked to refuse everything below the term."""
+
+    term: int
+    started_at: float
+    replies: dict[str, Report]
+
+
+@attrs.frozen
+class Promoting:
+    """The chosen server is asked to lead."""
+
+    term: int
+    chosen: str
+
+
+@attrs.frozen
+class Recording:
+    """The new primary is being recorded in the platform."""
+
+    term: int
+    chosen: str
+
+
+Step = Watching | Reading | TakingTerm | Quiescing | CatchingUp | Fencing | Promoting | Recording
+
+
+@attrs.frozen
+class Wish:
+    """A change of primary that is wanted while the primary is well.
+
+    Attributes
+    ----------
+    target : str
+        The server to lead.
+    plan : str
+        The operator's plan, or empty when an endpoint is leaving.
+    """
+
+    target: str
+    plan: str
+
+
+@attrs.define
+class WatchedServer:
+    """What the steward knows of a server.
+
+    Attributes
+    ----------
+    heard_at : float
+        When its last report arrived, in seconds.
+    asked_at : float or None
+        When the report that is outstanding was asked for.
+    followed_at : float
+        When it was last told whom to follow.
+    """
+
+    name: str
+    group: str
+    control_address: str
+    leaving: bool
+    heard_at: float
+    report: Report | None = None
+    asked_at: float | None = None
+    last_asked_at: float = -1e9
+    followed_at: float = -1e9
+
+
+@attrs.define
+class WatchedGroup:
+    """What the steward knows and does for a group.
+
+    Attributes
+    ----------
+    version : int
+        Version of the group's record that the attempt is based on.
+    record_seen : tuple of int and float
+        The newest version read and when it was first seen.
+    wish : Wish or None
+        What the attempt under way is for; None when the primary is lost.
+    """
+
+    spec: GroupSpec
+    since: float
+    term: int = 0
+    primary: str | None = None
+    step: Step = Watching()
+    step_at: float = 0.0
+    started_at: float = 0.0
+    next_try_at: float = 0.0
+    version: int = 0
+    record: GroupRecord = attrs.field(factory=GroupRecord)
+    record_seen: tuple[int, float] = (0, 0.0)
+    wish: Wish | None = None
+    wished_at: float | None = None
+    done_plans: set[str] = attrs.field(factory=set)
+    orders_out: set[tuple[str, Order]] = attrs.field(factory=set)
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """The group's servers."""
+        return tuple(endpoint.name for endpoint in self.spec.endpoints)
+
+
+@attrs.define
+class WatchTables:
+    """All rows of one steward."""
+
+    box: str
+    random: random.Random
+    detect_s: float
+    configuration: Configuration = attrs.field(factory=Configuration)
+    servers: dict[str, WatchedServer] = attrs.field(factory=dict)
+    groups: dict[str, WatchedGroup] = attrs.field(factory=dict)
+    boxes: tuple[str, ...] = ()
+    ticked_at: float | None = None
+    outputs: list[StewardOutput] = attrs.field(factory=list)
+
+    def emit(self, output: StewardOutput) -> None:
+        """Ask for something to be done."""
+        self.outputs.append(output)
+
+    def server(self, name: str | None) -> WatchedServer | None:
+        """Return a server's row."""
+        return self.servers.get(name) if name else None
--- /dev/null
+++ b/wharftiller/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""The daemons: a core composed with its edges."""
--- /dev/null
+++ b/wharftiller/daemons/steward.py
@@ -0,0 +1,256 @@
+"""The steward daemon: watches groups, orders promotions, spreads configuration."""
+
+from __future__ import annotations
+
+import random
+import time
+from collections.abc import Callable
+from typing import assert_never
+
+import trio
+
+from wharftiller.core.errors import ExchangeError, PlatformUnavailableError, UnknownPathError
+from wharftiller.core.messages import BoxesListed, ConfigurationArrived, Report, Tick
+from wharftiller.core.steward import StewardCore
+from wharftiller.core.steward_messages import (
+    AskReport,
+    GiveOrder,
+    GroupRecord,
+    LeadState,
+    Narrate,
+    NoticePrimary,
+    OrderAnswered,
+    OrderLost,
+    PlatformFailed,
+    ReadRecord,
+    RecordConflict,
+    RecordRead,
+    RecordUpdated,
+    ServerReported,
+    ServerSilent,
+    StewardInput,
+    StewardOutput,
+    UpdateRecord,
+)
+from wharftiller.daemons.spreader import Spreader
+from wharftiller.edges.codec import from_peer, to_json
+from wharftiller.edges.http import HttpClient, HttpRequest, HttpResponse, serve_stream
+from wharftiller.edges.peers import PeerClient, PrimaryNotice
+from wharftiller.edges.platform import ConflictError, PlatformClient, new_attempt
+from wharftiller.edges.transport import Transport
+from wharftiller.logs import part_log
+from wharftiller.metrics import Metrics
+from wharftiller.settings import Settings
+
+TICK_S = 0.02
+PUBLISH_S = 1.0
+REPORT_TIMEOUT_S = 0.3
+ORDER_TIMEOUT_S = 0.5
+LOST_PAUSE_S = 0.05
+
+
+def record_key(group: str) -> str:
+    """Return the key of a group's object."""
+    return f"groups/{group}"
+
+
+def audit_key(day: str, name: str) -> str:
+    """Return the key of an entry in the audit trail."""
+    return f"audit/{day}/{name}"
+
+
+class StewardDaemon:
+    """One steward.
+
+    Parameters
+    ----------
+    wall_clock : callable
+        Returns seconds since 1970, for the audit trail only.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        transport: Transport,
+        *,
+        seed: int | None = None,
+        wall_clock: Callable[[], float] = time.time,
+    ) -> None:
+        self._settings = settings
+        self._transport = transport
+        self._wall_clock = wall_clock
+        self._log = part_log("steward", settings.box.name)
+        self._metrics = Metrics(settings.metrics.statsd, "steward")
+        randomness = random.Random(seed)
+        self._core = StewardCore(settings.box.name, randomness, settings.steward.detect_s)
+        self._platform = PlatformClient(transport, settings.platform.address)
+        self._spreader = Spreader(settings, transport, randomness, self._configured, self._listed)
+        self._controls: dict[str, HttpClient] = {}
+        self._orders: dict[str, HttpClient] = {}
+        self._proxies: dict[str, PeerClient] = {}
+        self._nursery: trio.Nursery | None = None
+
+    @property
+    def core(self) -> StewardCore:
+        """The core, for views and tests."""
+        return self._core
+
+    @property
+    def spreader(self) -> Spreader:
+        """What spreads configuration, for views and tests."""
+        return self._spreader
+
+    async def run(self, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            listen = self._settings.steward.listen
+            address = await nursery.start(self._transport.serve, listen, self._serve)
+            self._log.info(f"listens on {address}")
+            nursery.start_soon(self._spreader.run)
+            nursery.start_soon(self._tick_for_ever)
+            task_status.started(address)
+
+    async def _serve(self, stream: trio.abc.Stream) -> None:
+        await serve_stream(stream, self._handle)
+
+    async def _handle(self, request: HttpRequest) -> HttpResponse:
+        match (request.method, request.path):
+            case ("POST", "/peer/configuration"):
+                return await self._spreader.answer(request)
+            case ("GET", "/ready"):
+                generation = self._spreader.generation
+                return HttpResponse(200 if generation else 503, {"generation": generation})
+            case (method, path):
+                raise UnknownPathError(f"no {method} {path}; use GET /ready")
+
+    def _configured(self) -> None:
+        self.feed(ConfigurationArrived(self._spreader.configuration))
+
+    def _listed(self) -> None:
+        self.feed(BoxesListed(tuple(entry.name for entry in self._spreader.boxes)))
+
+    def feed(self, message: StewardInput) -> None:
+        """Give the core an input and carry out what it asks for."""
+        for output in self._core.handle(message, trio.current_time()):
+            self._carry_out(output)
+
+    def _carry_out(self, output: StewardOutput) -> None:
+        assert self._nursery is not None
+        match output:
+            case AskReport():
+                self._nursery.start_soon(self._ask_report, output)
+            case ReadRecord(group):
+                self._nursery.start_soon(self._read_record, group)
+            case UpdateRecord():
+                self._nursery.start_soon(self._update_record, output)
+            case GiveOrder():
+                self._nursery.start_soon(self._give_order, output)
+            case NoticePrimary():
+                self._notice(output)
+            case Narrate(group, text):
+                self._log.info(f"group {group} {text}", fields={"group": group})
+            case _:
+                assert_never(output)
+
+    async def _tick_for_ever(self) -> None:
+        published_at = trio.current_time()
+        while True:
+            await trio.sleep(TICK_S)
+            self.feed(Tick())
+            if trio.current_time() - published_at >= PUBLISH_S:
+                published_at = trio.current_time()
+                generation = float(self._spreader.generation)
+                self._metrics.publish(self._spreader.counters, {"generation": generation})
+
+    def _control(self, kept: dict[str, HttpClient], address: str) -> HttpClient:
+        if address not in kept:
+            kept[address] = HttpClient(self._transport, address)
+        return kept[address]
+
+    async def _ask_report(self, order: AskReport) -> None:
+        sent_at = trio.current_time()
+        body = {"wait_position": 0, "wait_ms": 0}
+        try:
+            client = self._control(self._controls, order.address)
+            answer = await client.request("POST", "/report", body, timeout_s=REPORT_TIMEOUT_S)
+            report = from_peer(answer.json(), Report)
+        except ExchangeError:
+            self.feed(ServerSilent(order.endpoint, sent_at))
+        else:
+            self.feed(ServerReported(order.endpoint, sent_at, report))
+
+    async def _give_order(self, order: GiveOrder) -> None:
+        body = {
+            "term": order.term,
+            "address": order.primary_address,
+            "level": order.level,
+            "hold_ms": order.hold_ms,
+        }
+        try:
+            client = self._control(self._orders, order.address)
+            answer = await client.request(
+                "POST", f"/{order.order.value}", body, timeout_s=ORDER_TIMEOUT_S
+            )
+            report = from_peer(answer.json(), Report)
+        except ExchangeError:
+            await trio.sleep(LOST_PAUSE_S)
+            self.feed(OrderLost(order.group, order.endpoint, order.order, order.term))
+            return
+        accepted = answer.status == 200
+        self.feed(
+            OrderAnswered(order.group, order.endpoint, order.order, order.term, accepted, report)
+        )
+
+    async def _read_record(self, group: str) -> None:
+        try:
+            stored = await self._platform.read(record_key(group))
+        except PlatformUnavailableError as error:
+            self._log.warning(f"group {group}: {error}")
+            self.feed(PlatformFailed(group))
+            return
+        if stored is None:
+            self.feed(RecordRead(group, 0, GroupRecord()))
+        else:
+            self.feed(RecordRead(group, stored.version, from_peer(stored.value, GroupRecord)))
+
+    async def _update_record(self, order: UpdateRecord) -> None:
+        key = record_key(order.group)
+        try:
+            stored = await self._platform.update(key, to_json(order.record), order.if_version)
+        except ConflictError:
+            self.feed(RecordConflict(order.group))
+            return
+        except PlatformUnavailableError as error:
+            self._log.warning(f"group {order.group}: {error}")
+            self.feed(PlatformFailed(order.group))
+            return
+        self.feed(RecordUpdated(order.group, stored.version))
+        if order.record.state is LeadState.LED:
+            await self._write_audit(order)
+
+    async def _write_audit(self, order: UpdateRecord) -> None:
+        at = self._wall_clock()
+        day = time.strftime("%Y%m%d", time.gmtime(at))
+        entry = {"kind": "promotion", "at": at, "group": order.group, **to_json(order.record)}
+        name = f"promotion-{order.group}-{order.record.term}"
+        try:
+            await self._platform.update(audit_key(day, name), entry, 0, new_attempt())
+        except (ConflictError, PlatformUnavailableError) as error:
+            self._log.warning(f"the audit entry {name} was not written: {error}")
+
+    def _notice(self, notice: NoticePrimary) -> None:
+        assert self._nursery is not None
+        places = {entry.proxy for entry in self._spreader.boxes if entry.proxy}
+        places.add(self._settings.proxy.listen)
+        for address in places:
+            self._nursery.start_soon(self._notice_one, address, notice)
+
+    async def _notice_one(self, address: str, notice: NoticePrimary) -> None:
+        if address not in self._proxies:
+            self._proxies[address] = PeerClient(self._transport, address, self._settings.keys)
+        message = PrimaryNotice(notice.group, notice.term, notice.endpoint)
+        try:
+            await self._proxies[address].notice_primary(message)
+        except ExchangeError:
+            return
--- /dev/null
+++ b/wharftiller/edges/codec.py
@@ -0,0 +1,96 @@
+"""Typed messages to and from JSON values, strictly checked."""
+
+from __future__ import annotations
+
+from typing import Any, TypeVar
+
+import cattrs
+from cattrs.preconf.orjson import make_converter
+
+from wharftiller.core.errors import BadRequestError, ExchangeError
+
+T = TypeVar("T")
+
+
+def _strict(kind: type) -> Any:
+    def structure(value: Any, _: Any) -> Any:
+        if type(value) is not kind:
+            raise ValueError(f"{value!r} is a {type(value).__name__}, a {kind.__name__} is needed")
+        return value
+
+    return structure
+
+
+def _strict_float(value: Any, _: Any) -> float:
+    if type(value) not in (int, float):
+        raise ValueError(f"{value!r} is a {type(value).__name__}, a number is needed")
+    return float(value)
+
+
+def make_strict_converter(*, forbid_extra_keys: bool, detailed: bool) -> cattrs.Converter:
+    """Return a converter that accepts no value of another type."""
+    converter = make_converter(forbid_extra_keys=forbid_extra_keys, detailed_validation=detailed)
+    for kind in (int, str, bool):
+        converter.register_structure_hook(kind, _strict(kind))
+    converter.register_structure_hook(float, _strict_float)
+    return converter
+
+
+_fast = make_strict_converter(forbid_extra_keys=True, detailed=False)
+_detailed = make_strict_converter(forbid_extra_keys=True, detailed=True)
+_peer = make_strict_converter(forbid_extra_keys=False, detailed=False)
+
+
+def to_json(value: Any) -> Any:
+    """Return the JSON value of an attrs object."""
+    return _peer.unstructure(value)
+
+
+def from_caller(value: Any, kind: type[T]) -> T:
+    """Return ``value`` as ``kind``.
+
+    Raises
+    ------
+    BadRequestError
+        With every fault, the path to it and what is needed.
+    """
+    try:
+        return _fast.structure(value, kind)
+    except Exception:
+        return _structure_with_faults(value, kind)
+
+
+def _structure_with_faults(value: Any, kind: type[T]) -> T:
+    try:
+        return _detailed.structure(value, kind)
+    except Exception as error:
+        faults = "; ".join(cattrs.transform_error(error, path="body", format_exception=_describe))
+        raise BadRequestError(f"{faults}. Correct the fields and send it again") from None
+
+
+def _describe(error: BaseException, _: type | None) -> str:
+    match error:
+        case cattrs.errors.ForbiddenExtraKeysError():
+            return f"unknown fields {sorted(error.extra_fields)}"
+        case KeyError():
+            return "required field missing"
+        case _:
+            return str(error)
+
+
+def from_peer(value: Any, kind: type[T]) -> T:
+    """Return ``value`` from another of our processes as ``kind``.
+
+    Unknown fields are passed over, so that boxes of two versions can talk.
+
+    Raises
+    ------
+    ExchangeError
+        If it is not one.
+    """
+    try:
+        return _peer.structure(value, kind)
+    except Exception as error:
+        raise ExchangeError(
+            f"a peer's {kind.__name__} cannot be read: {error!r}. Check both sides' versions"
+        ) from None
--- /dev/null
+++ b/wharftiller/edges/configuration_store.py
@@ -0,0 +1,166 @@
+"""The configuration as objects of the platform: a small head and shards of specs.
+
+A shard's object is never changed once written; the head names the one in force,
+so a change takes effect by one conditional update of the head. The objects that
+a change replaces are listed as retired and deleted some changes later.
+"""
+
+from __future__ import annotations
+
+import attrs
+import xxhash
+
+from wharftiller.core.configuration import Configuration, GroupSpec, PoolSpec
+from wharftiller.core.errors import PlatformUnavailableError
+from wharftiller.edges.codec import from_peer, to_json
+from wharftiller.edges.platform import PlatformClient, StoredObject
+
+HEAD_KEY = "config/head"
+SHARDS = 256
+APPLIED_KEPT = 64
+RETIRED_KEPT = 16
+
+
+@attrs.frozen
+class Shard:
+    """The pools and groups whose names hash to one number."""
+
+    groups: dict[str, GroupSpec] = attrs.field(factory=dict)
+    pools: dict[str, PoolSpec] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class AppliedPlan:
+    """A plan that took effect, and the generation it made."""
+
+    plan: str
+    generation: int
+
+
+@attrs.frozen
+class Head:
+    """The object that says what is in force.
+
+    Attributes
+    ----------
+    shards : dict of str to str
+        Key of the shard's object, per shard number that is not empty.
+    applied : list of AppliedPlan
+        The newest plans, oldest first.
+    retired : list of str
+        Keys of replaced objects, oldest first.
+    """
+
+    generation: int = 0
+    shards: dict[str, str] = attrs.field(factory=dict)
+    applied: list[AppliedPlan] = attrs.field(factory=list)
+    retired: list[str] = attrs.field(factory=list)
+
+    def generation_of(self, plan: str) -> int | None:
+        """Return the generation that ``plan`` made, if it is one of the newest."""
+        for applied in self.applied:
+            if applied.plan == plan:
+                return applied.generation
+        return None
+
+
+@attrs.frozen
+class StoredConfiguration:
+    """A configuration with the head it was read from."""
+
+    head: Head
+    head_version: int
+    configuration: Configuration
+
+
+def shard_of(name: str) -> str:
+    """Return the number of the shard that holds ``name``."""
+    return str(xxhash.xxh3_64_intdigest(name.encode()) % SHARDS)
+
+
+class ConfigurationStore:
+    """Reads and replaces the configuration; keeps the shards it has read."""
+
+    def __init__(self, platform: PlatformClient) -> None:
+        self._platform = platform
+        self._shards: dict[str, Shard] = {}
+
+    async def load(self) -> StoredConfiguration:
+        """Return the configuration in force.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If the platform does not answer, or the head moved on while reading.
+        """
+        return await self.load_from(await self._platform.read(HEAD_KEY))
+
+    async def load_from(self, stored: StoredObject | None) -> StoredConfiguration:
+        """Return the configuration that a head just read stands for."""
+        if stored is None:
+            return StoredConfiguration(Head(), 0, Configuration())
+        head = from_peer(stored.value, Head)
+        shards = {key: await self._shard(key) for key in head.shards.values()}
+        self._shards = shards
+        groups = {name: spec for shard in shards.values() for name, spec in shard.groups.items()}
+        pools = {name: spec for shard in shards.values() for name, spec in shard.pools.items()}
+        return StoredConfiguration(
+            head, stored.version, Configuration(head.generation, pools, groups)
+        )
+
+    async def _shard(self, key: str) -> Shard:
+        kept = self._shards.get(key)
+        if kept is not None:
+            return kept
+        stored = await self._platform.read(key)
+        if stored is None:
+            raise PlatformUnavailableError(
+                f"{key} is gone; the configuration moved on while it was read. Read it again"
+            )
+        return from_peer(stored.value, Shard)
+
+    async def replace(self, base: StoredConfiguration, wanted: Configuration, plan: str) -> int:
+        """Put ``wanted`` in force in place of ``base`` and return its generation.
+
+        Raises
+        ------
+        ConflictError
+            If the configuration is no longer ``base``.
+        """
+        generation = base.head.generation + 1
+        before = _split(base.configuration)
+        after = _split(wanted)
+        shards = dict(base.head.shards)
+        retired = list(base.head.retired)
+        for number in sorted({*before, *after}):
+            if before.get(number) == after.get(number):
+                continue
+            if number in shards:
+                retired.append(shards.pop(number))
+            if number in after:
+                shards[number] = await self._write_shard(number, plan, after[number])
+        applied = [*base.head.applied, AppliedPlan(plan, generation)][-APPLIED_KEPT:]
+        head = Head(generation, shards, applied, retired[-RETIRED_KEPT:])
+        await self._platform.update(HEAD_KEY, to_json(head), base.head_version, attempt=plan)
+        await self._delete(retired[:-RETIRED_KEPT])
+        return generation
+
+    async def _write_shard(self, number: str, plan: str, shard: Shard) -> str:
+        key = f"config/shard/{number}/{plan}"
+        existing = await self._platform.read(key)
+        version = existing.version if existing else 0
+        await self._platform.update(key, to_json(shard), version)
+        return key
+
+    async def _delete(self, keys: list[str]) -> None:
+        for key in keys:
+            await self._platform.delete(key)
+
+
+def _split(configuration: Configuration) -> dict[str, Shard]:
+    shards: dict[str, Shard] = {}
+    for name, group in configuration.groups.items():
+        shards.setdefault(shard_of(name), Shard()).groups[name] = group
+    for name, pool in configuration.pools.items():
+        shards.setdefault(shard_of(name), Shard()).pools[name] = pool
+    return shards
--- /dev/null
+++ b/wharftiller/edges/endpoints.py
@@ -0,0 +1,173 @@
+"""The endpoints' edge: statement connections, and control connections for reports."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+import trio
+
+from wharftiller.core.errors import ExchangeError
+from wharftiller.core.messages import (
+    ConnectionLost,
+    ConnectionOpened,
+    ConnectionRefused,
+    EndpointAnswer,
+    Input,
+    Lane,
+    OpenConnection,
+    Report,
+    ReportArrived,
+    ReportLost,
+    SendReport,
+    SendStatement,
+    StatementAnswered,
+)
+from wharftiller.core.reports import REPORT_TIMEOUT_S
+from wharftiller.edges.codec import from_peer
+from wharftiller.edges.http import HttpClient, HttpConnection
+from wharftiller.edges.transport import Transport
+
+CONNECT_TIMEOUT_S = 1.0
+LOST_REPORT_PAUSE_S = 0.05
+
+Feed = Callable[[Input], None]
+
+
+@attrs.define
+class _Connection:
+    """A statement connection's task: where to send statements, how to end it."""
+
+    statements: trio.MemorySendChannel[SendStatement]
+    scope: trio.CancelScope
+
+
+class StatementConnections:
+    """Carries out the core's orders on statement connections.
+
+    Parameters
+    ----------
+    feed : callable
+        Takes what happens on them.
+    """
+
+    def __init__(self, transport: Transport, box: str, nursery: trio.Nursery, feed: Feed) -> None:
+        self._transport = transport
+        self._box = box
+        self._nursery = nursery
+        self._feed = feed
+        self._connections: dict[int, _Connection] = {}
+
+    def open(self, order: OpenConnection) -> None:
+        """Open a connection; its fate is fed back."""
+        send, receive = trio.open_memory_channel[SendStatement](2)
+        connection = _Connection(send, trio.CancelScope())
+        self._connections[order.connection] = connection
+        self._nursery.start_soon(self._run, order, connection.scope, receive)
+
+    def send(self, order: SendStatement) -> None:
+        """Send a statement; a connection that has gone has said so already."""
+        connection = self._connections.get(order.connection)
+        if connection is not None:
+            connection.statements.send_nowait(order)
+
+    def close(self, number: int) -> None:
+        """Close a connection without a word."""
+        connection = self._connections.pop(number, None)
+        if connection is not None:
+            connection.scope.cancel()
+
+    async def _run(
+        self,
+        order: OpenConnection,
+        scope: trio.CancelScope,
+        statements: trio.MemoryReceiveChannel[SendStatement],
+    ) -> None:
+        with scope:
+            opened = await self._connect(order)
+            if opened is None:
+                return
+            try:
+                await self._carry(order.connection, opened, statements)
+            finally:
+                await opened.aclose()
+
+    async def _connect(self, order: OpenConnection) -> HttpConnection | None:
+        at_limit = False
+        opened: HttpConnection | None = None
+        try:
+            with trio.move_on_after(CONNECT_TIMEOUT_S):
+                opened = HttpConnection(await self._transport.connect(order.address))
+                greeting = await opened.request("POST", "/connect", {"box": self._box})
+                if greeting.status == 200:
+                    self._feed(ConnectionOpened(order.connection))
+                    return opened
+                at_limit = True
+        except ExchangeError:
+            pass
+        if opened is not None:
+            await opened.aclose()
+        self._connections.pop(order.connection, None)
+        self._feed(ConnectionRefused(order.connection, at_limit))
+        return None
+
+    async def _carry(
+        self,
+        number: int,
+        opened: HttpConnection,
+        statements: trio.MemoryReceiveChannel[SendStatement],
+    ) -> None:
+        try:
+            async for statement in statements:
+                answer = await opened.request("POST", "/statement", _encode(statement))
+                parsed = from_peer(answer.json(), EndpointAnswer)
+                self._feed(StatementAnswered(number, parsed))
+        except ExchangeError:
+            self._connections.pop(number, None)
+            self._feed(ConnectionLost(number))
+
+
+def _encode(order: SendStatement) -> dict[str, Any]:
+    return {
+        "request_id": order.request_id,
+        "business": order.business,
+        "action": order.action.value,
+        "statement": order.statement,
+        "term": order.term,
+        "deadline_ms": order.deadline_ms,
+    }
+
+
+class ReportLanes:
+    """Control connections: one per server and lane, kept open."""
+
+    def __init__(self, transport: Transport, nursery: trio.Nursery, feed: Feed) -> None:
+        self._transport = transport
+        self._nursery = nursery
+        self._feed = feed
+        self._clients: dict[tuple[str, Lane], HttpClient] = {}
+
+    def send(self, order: SendReport) -> None:
+        """Ask for a report; it, or its loss, is fed back."""
+        self._nursery.start_soon(self._ask, order, trio.current_time())
+
+    def _client(self, order: SendReport) -> HttpClient:
+        place = (order.endpoint, order.lane)
+        client = self._clients.get(place)
+        if client is None or client.address != order.address:
+            client = HttpClient(self._transport, order.address)
+            self._clients[place] = client
+        return client
+
+    async def _ask(self, order: SendReport, sent_at: float) -> None:
+        body = {"wait_position": order.wait_position, "wait_ms": order.wait_ms}
+        timeout_s = REPORT_TIMEOUT_S + order.wait_ms / 1000
+        try:
+            answer = await self._client(order).request("POST", "/report", body, timeout_s=timeout_s)
+            report = from_peer(answer.json(), Report)
+        except ExchangeError:
+            await trio.sleep(LOST_REPORT_PAUSE_S)
+            self._feed(ReportLost(order.endpoint, order.lane, sent_at))
+        else:
+            self._feed(ReportArrived(order.endpoint, order.lane, sent_at, report))
--- /dev/null
+++ b/wharftiller/edges/http.py
@@ -0,0 +1,362 @@
+"""HTTP/1.1 with JSON on trio streams, parsed by httptools.
+
+One path for every edge: it is the cheapest that was measured
+(docs/design/http.md), and it runs in virtual time over a network in memory.
+"""
+
+from __future__ import annotations
+
+import http
+from collections.abc import Awaitable, Callable
+from typing import Any
+from urllib.parse import parse_qsl
+
+import attrs
+import httptools
+import orjson
+import trio
+
+from wharftiller.core.errors import (
+    BadRequestError,
+    BodyTooLargeError,
+    ExchangeError,
+    WharfError,
+)
+from wharftiller.edges.transport import Transport, close_now
+
+MAX_BODY_BYTES = 1_048_576
+MAX_HEADER_BYTES = 16_384
+MAX_HEADERS = 64
+READ_BYTES = 16_384
+MAX_PIPELINED = 32
+HEADER_TIMEOUT_S = 20.0
+"""Time a caller may take over one request once its first byte has come."""
+
+
+@attrs.define(slots=True)
+class HttpRequest:
+    """One request as it came.
+
+    Attributes
+    ----------
+    headers : dict of str to str
+        Names in lower case.
+    """
+
+    method: str
+    path: str
+    query: dict[str, str]
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the body's JSON.
+
+        Raises
+        ------
+        BadRequestError
+            If the body is not whole JSON.
+        """
+        try:
+            return orjson.loads(self.body) if self.body else {}
+        except orjson.JSONDecodeError as error:
+            raise BadRequestError(
+                f"the body is not JSON: {error}. Send one whole JSON object"
+            ) from None
+
+
+@attrs.define(slots=True)
+class HttpResponse:
+    """One response; ``body`` is encoded as JSON unless it is bytes."""
+
+    status: int = 200
+    body: Any = None
+    headers: dict[str, str] = attrs.field(factory=dict)
+    close: bool = False
+
+    def encode(self) -> bytes:
+        """Return the bytes to send."""
+        body = self.body if isinstance(self.body, bytes) else orjson.dumps(self.body)
+        phrase = http.HTTPStatus(self.status).phrase
+        head = f"HTTP/1.1 {self.status} {phrase}\r\ncontent-length: {len(body)}\r\n"
+        head += "content-type: application/json\r\n"
+        for name, value in self.headers.items():
+            head += f"{name}: {value}\r\n"
+        if self.close:
+            head += "connection: close\r\n"
+        return head.encode() + b"\r\n" + body
+
+
+HttpHandler = Callable[[HttpRequest], Awaitable[HttpResponse]]
+
+
+def error_response(error: WharfError, *, close: bool = False) -> HttpResponse:
+    """Return the response that tells a client of ``error``."""
+    body = {"error": error.kind, "message": str(error)}
+    return HttpResponse(error.status, body, close=close)
+
+
+class _RequestCollector:
+    """Gathers requests from the parser's callbacks."""
+
+    def __init__(self) -> None:
+        self.requests: list[HttpRequest] = []
+        self.in_request = False
+        self.method: Callable[[], str] = str
+        self._fresh()
+
+    def _fresh(self) -> None:
+        self._url = b""
+        self._headers: dict[str, str] = {}
+        self._size = 0
+        self._body: list[bytes] = []
+        self._body_size = 0
+
+    def on_message_begin(self) -> None:
+        self.in_request = True
+        self._fresh()
+
+    def on_url(self, url: bytes) -> None:
+        self._url += url
+        self._grow(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self._grow(len(name) + len(value))
+        if len(self._headers) >= MAX_HEADERS:
+            raise BodyTooLargeError(f"more than {MAX_HEADERS} headers. Send fewer")
+        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def _grow(self, size: int) -> None:
+        self._size += size
+        if self._size > MAX_HEADER_BYTES:
+            raise BodyTooLargeError(
+                f"the request's head passes {MAX_HEADER_BYTES} bytes. Shorten its path and headers"
+            )
+
+    def on_body(self, body: bytes) -> None:
+        self._body_size += len(body)
+        if self._body_size > MAX_BODY_BYTES:
+            raise BodyTooLargeError(
+                f"the body passes {MAX_BODY_BYTES} bytes. Send less in one request"
+            )
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        self.in_request = False
+        url = httptools.parse_url(self._url)
+        query = dict(parse_qsl(url.query.decode("latin-1"))) if url.query else {}
+        path = url.path.decode("latin-1")
+        body = b"".join(self._body)
+        self.requests.append(HttpRequest(self.method(), path, query, self._headers, body))
+        self._fresh()
+
+
+async def serve_stream(stream: trio.abc.Stream, handler: HttpHandler) -> None:
+    """Answer the requests of one connection, in their order, until it closes."""
+    collector = _RequestCollector()
+    parser = httptools.HttpRequestParser(collector)
+    collector.method = lambda: parser.get_method().decode("latin-1")
+    try:
+        while True:
+            data = await _receive(stream, collector.in_request)
+            if not data:
+                return
+            error = _feed(parser, data)
+            pending, collector.requests = collector.requests, []
+            if len(pending) > MAX_PIPELINED:
+                error = BadRequestError(
+                    f"{len(pending)} requests came at once; pipeline at most {MAX_PIPELINED}"
+                )
+                pending = []
+            for request in pending:
+                response = await _respond(handler, request)
+                await stream.send_all(response.encode())
+                if response.close:
+                    return
+            if error is not None:
+                await stream.send_all(error_response(error, close=True).encode())
+                return
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        return
+
+
+async def _receive(stream: trio.abc.Stream, in_request: bool) -> bytes:
+    if not in_request:
+        return bytes(await stream.receive_some(READ_BYTES))
+    with trio.move_on_after(HEADER_TIMEOUT_S):
+        return bytes(await stream.receive_some(READ_BYTES))
+    return b""
+
+
+def _feed(parser: Any, data: bytes) -> WharfError | None:
+    try:
+        parser.feed_data(data)
+    except httptools.HttpParserUpgrade:
+        return BadRequestError("this server changes no protocols; send HTTP/1.1")
+    except httptools.HttpParserError as error:
+        if isinstance(error.__context__, WharfError):
+            return error.__context__
+        return BadRequestError(f"the request is not HTTP/1.1: {error}. Check the client")
+    return None
+
+
+async def _respond(handler: HttpHandler, request: HttpRequest) -> HttpResponse:
+    try:
+        response = await handler(request)
+    except WharfError as error:
+        response = error_response(error)
+    if request.headers.get("connection", "").lower() == "close":
+        response.close = True
+    return response
+
+
+class _ResponseCollector:
+    """Gathers one response from the parser's callbacks."""
+
+    def __init__(self) -> None:
+        self.complete = False
+        self.close = False
+        self.body: list[bytes] = []
+        self.headers: dict[str, str] = {}
+        self.extra = False
+
+    def on_message_begin(self) -> None:
+        self.extra = self.complete
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, body: bytes) -> None:
+        self.body.append(body)
+
+    def on_message_complete(self) -> None:
+        self.complete = True
+
+
+@attrs.define
+class HttpAnswer:
+    """A response as a client sees it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the body's JSON.
+
+        Raises
+        ------
+        ExchangeError
+            If it is not JSON.
+        """
+        try:
+            return orjson.loads(self.body)
+        except orjson.JSONDecodeError as error:
+            raise ExchangeError(f"the answer is not JSON: {error}. Check the peer") from None
+
+
+class HttpConnection:
+    """A client connection that carries one request at a time."""
+
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self._stream = stream
+
+    async def request(
+        self, method: str, path: str, body: Any = None, headers: dict[str, str] | None = None
+    ) -> HttpAnswer:
+        """Send a request and return its answer.
+
+        Raises
+        ------
+        ExchangeError
+            If the connection breaks or the answer is not HTTP; the connection
+            cannot be used again.
+        """
+        try:
+            await self._stream.send_all(_encode_request(method, path, body, headers or {}))
+            return await self._read_answer()
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ExchangeError(f"the connection broke during {method} {path}") from error
+
+    async def _read_answer(self) -> HttpAnswer:
+        collector = _ResponseCollector()
+        parser = httptools.HttpResponseParser(collector)
+        while not collector.complete:
+            data = await self._stream.receive_some(READ_BYTES)
+            if not data:
+                raise ExchangeError("the peer closed the connection before answering")
+            try:
+                parser.feed_data(data)
+            except httptools.HttpParserError as error:
+                raise ExchangeError(f"the answer is not HTTP/1.1: {error}") from None
+        if collector.extra:
+            raise ExchangeError("the peer sent more than one answer to a request")
+        return HttpAnswer(parser.get_status_code(), collector.headers, b"".join(collector.body))
+
+    async def aclose(self) -> None:
+        """Close at once."""
+        await close_now(self._stream)
+
+
+def _encode_request(method: str, path: str, body: Any, headers: dict[str, str]) -> bytes:
+    payload = b"" if body is None else body if isinstance(body, bytes) else orjson.dumps(body)
+    head = f"{method} {path} HTTP/1.1\r\nhost: wharftiller\r\ncontent-length: {len(payload)}\r\n"
+    for name, value in headers.items():
+        head += f"{name}: {value}\r\n"
+    return head.encode() + b"\r\n" + payload
+
+
+class HttpClient:
+    """Requests to one address over a kept connection, opened anew when it breaks."""
+
+    def __init__(self, transport: Transport, address: str) -> None:
+        self._transport = transport
+        self._address = address
+        self._connection: HttpConnection | None = None
+        self._lock = trio.Lock()
+
+    @property
+    def address(self) -> str:
+        """Where requests go."""
+        return self._address
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+        *,
+        timeout_s: float,
+    ) -> HttpAnswer:
+        """Send a request within ``timeout_s`` seconds.
+
+        Raises
+        ------
+        ExchangeError
+            If no answer came; the request may or may not have taken effect.
+        """
+        with trio.move_on_after(timeout_s):
+            async with self._lock:
+                return await self._exchange(method, path, body, headers)
+        raise ExchangeError(f"{self._address} did not answer within {timeout_s} s")
+
+    async def _exchange(
+        self, method: str, path: str, body: Any, headers: dict[str, str] | None
+    ) -> HttpAnswer:
+        whole = False
+        try:
+            if self._connection is None:
+                self._connection = HttpConnection(await self._transport.connect(self._address))
+            answer = await self._connection.request(method, path, body, headers)
+            whole = answer.headers.get("connection") != "close"
+            return answer
+        finally:
+            if not whole:
+                await self.aclose()
+
+    async def aclose(self) -> None:
+        """Drop the kept connection."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            await connection.aclose()
--- /dev/null
+++ b/wharftiller/edges/peers.py
@@ -0,0 +1,118 @@
+"""The edge between the system's own processes: configuration, boxes, notices."""
+
+from __future__ import annotations
+
+import attrs
+
+from wharftiller.core.spreading import ConfigurationChange
+from wharftiller.edges.codec import from_peer, to_json
+from wharftiller.edges.http import HttpClient, HttpRequest, HttpResponse
+from wharftiller.edges.platform import BoxEntry
+from wharftiller.edges.transport import Transport
+from wharftiller.keys import KeyRing, bearer, bearer_header
+
+ANSWER_TIMEOUT_S = 1.0
+PEER = "peer"
+
+
+@attrs.frozen
+class ConfigurationQuestion:
+    """What a proxy or steward asks a steward.
+
+    Attributes
+    ----------
+    box : str
+        The box that asks.
+    generation : int
+        The generation it has in force.
+    wait_ms : int
+        How long the answer may wait for a newer one.
+    in_force : dict of str to int
+        Generations that the asker knows to be in force, by box.
+    """
+
+    box: str
+    generation: int
+    wait_ms: int
+    in_force: dict[str, int] = attrs.field(factory=dict)
+
+
+@attrs.frozen
+class ConfigurationReply:
+    """What a steward answers.
+
+    Attributes
+    ----------
+    change : ConfigurationChange or None
+        None when the asker is up to date.
+    boxes : list of BoxEntry
+        The platform's list as the steward knows it.
+    listed : bool
+        Whether that list was ever read from the platform.
+    """
+
+    change: ConfigurationChange | None = None
+    boxes: list[BoxEntry] = attrs.field(factory=list)
+    listed: bool = False
+
+
+@attrs.frozen
+class PrimaryNotice:
+    """Who leads a group."""
+
+    group: str
+    term: int
+    endpoint: str
+
+
+def check_peer(request: HttpRequest, keys: KeyRing) -> None:
+    """Verify that a request comes from one of our own processes.
+
+    Raises
+    ------
+    AuthenticationError
+        If it does not.
+    """
+    keys.check(PEER, PEER, bearer(request.headers))
+
+
+def reply(value: object) -> HttpResponse:
+    """Return the response that carries a message."""
+    return HttpResponse(200, to_json(value))
+
+
+class PeerClient:
+    """Calls to another of our processes."""
+
+    def __init__(self, transport: Transport, address: str, keys: KeyRing) -> None:
+        self._client = HttpClient(transport, address)
+        self._headers = bearer_header(keys.mint(PEER, PEER))
+
+    async def ask_configuration(self, question: ConfigurationQuestion) -> ConfigurationReply:
+        """Ask a steward for what is newer than ``question.generation``.
+
+        Raises
+        ------
+        ExchangeError
+            If it does not answer.
+        """
+        answer = await self._client.request(
+            "POST",
+            "/peer/configuration",
+            to_json(question),
+            self._headers,
+            timeout_s=question.wait_ms / 1000 + ANSWER_TIMEOUT_S,
+        )
+        return from_peer(answer.json(), ConfigurationReply)
+
+    async def notice_primary(self, notice: PrimaryNotice) -> None:
+        """Tell a proxy who leads a group.
+
+        Raises
+        ------
+        ExchangeError
+            If it does not answer.
+        """
+        await self._client.request(
+            "POST", "/peer/primary", to_json(notice), self._headers, timeout_s=ANSWER_TIMEOUT_S
+        )
--- /dev/null
+++ b/wharftiller/edges/platform.py
@@ -0,0 +1,167 @@
+"""The platform's edge: objects with versions, conditional updates, watches, boxes."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Callable
+from typing import Any
+from urllib.parse import quote
+
+import attrs
+
+from wharftiller.core.errors import ExchangeError, PlatformUnavailableError, WharfError
+from wharftiller.edges.codec import from_peer
+from wharftiller.edges.http import HttpAnswer, HttpClient
+from wharftiller.edges.transport import Transport
+
+CALL_TIMEOUT_S = 1.0
+UPDATE_TRIES = 3
+
+
+@attrs.frozen
+class StoredObject:
+    """An object as the platform keeps it.
+
+    Attributes
+    ----------
+    version : int
+        Raised by every update; 0 means "does not exist".
+    attempt : str
+        Id of the update that wrote it.
+    """
+
+    key: str
+    value: Any
+    version: int
+    attempt: str = ""
+
+
+@attrs.frozen
+class BoxEntry:
+    """One box of the platform's lagging list."""
+
+    name: str
+    data_centre: str
+    steward: str = ""
+    proxy: str = ""
+    leaving: bool = False
+
+
+class ConflictError(WharfError):
+    """An object has another version than the update was made for."""
+
+    kind = "conflict"
+    status = 409
+
+    def __init__(self, key: str, expected: int, found: int) -> None:
+        super().__init__(
+            f"object {key!r} is at version {found}, the update was made for {expected}. "
+            "Read it again and decide anew"
+        )
+        self.found = found
+
+
+def new_attempt() -> str:
+    """Return an id never used for another update."""
+    return uuid.uuid4().hex
+
+
+class PlatformClient:
+    """Calls to the platform; each raises `PlatformUnavailableError` when it is away.
+
+    Parameters
+    ----------
+    count : callable
+        Told the name of every call made, for metrics.
+    """
+
+    def __init__(
+        self, transport: Transport, address: str, count: Callable[[str], None] = lambda _: None
+    ) -> None:
+        self._client = HttpClient(transport, address)
+        self._watcher = HttpClient(transport, address)
+        self._count = count
+
+    async def read(self, key: str) -> StoredObject | None:
+        """Return an object, or None if there is none."""
+        answer = await self._call("GET", f"/objects/{quote(key)}")
+        return None if answer.status == 404 else from_peer(answer.json(), StoredObject)
+
+    async def list_objects(self, prefix: str) -> list[StoredObject]:
+        """Return the objects whose keys start with ``prefix``, by key."""
+        answer = await self._call("GET", f"/objects?prefix={quote(prefix)}")
+        return from_peer(answer.json(), list[StoredObject])
+
+    async def delete(self, key: str) -> None:
+        """Delete an object that nothing refers to any more; a failure leaves it behind."""
+        try:
+            await self._call("DELETE", f"/objects/{quote(key)}")
+        except PlatformUnavailableError:
+            return
+
+    async def boxes(self) -> list[BoxEntry]:
+        """Return the platform's lagging list of boxes."""
+        answer = await self._call("GET", "/boxes")
+        return from_peer(answer.json(), list[BoxEntry])
+
+    async def watch(self, key: str, after: int, wait_s: float) -> StoredObject | None:
+        """Return the object once its version passes ``after``; None if it did not in time."""
+        self._count("platform.watch")
+        path = f"/watch/{quote(key)}?after={after}&wait_ms={round(wait_s * 1000)}"
+        answer = await self._exchange(self._watcher, "GET", path, None, wait_s + CALL_TIMEOUT_S)
+        return None if answer.status in (204, 404) else from_peer(answer.json(), StoredObject)
+
+    async def update(
+        self, key: str, value: Any, if_version: int, attempt: str | None = None
+    ) -> StoredObject:
+        """Write an object that is at ``if_version`` (0: that does not exist).
+
+        An update whose answer is lost is read back and compared by its attempt
+        id, so it is known whether it took effect.
+
+        Raises
+        ------
+        ConflictError
+            If the object is at another version.
+        PlatformUnavailableError
+            If it stays unknown; asking again with the same attempt is safe.
+        """
+        attempt = attempt or new_attempt()
+        for left in reversed(range(UPDATE_TRIES)):
+            try:
+                return await self._update_once(key, value, if_version, attempt)
+            except PlatformUnavailableError:
+                if not left:
+                    raise
+            written = await self.read(key)
+            if written is not None and written.attempt == attempt:
+                return written
+        raise AssertionError("unreachable")
+
+    async def _update_once(
+        self, key: str, value: Any, if_version: int, attempt: str
+    ) -> StoredObject:
+        body = {"value": value, "if_version": if_version, "attempt": attempt}
+        answer = await self._call("PUT", f"/objects/{quote(key)}", body)
+        stored = from_peer(answer.json(), StoredObject)
+        if answer.status == 409 and stored.attempt != attempt:
+            raise ConflictError(key, if_version, stored.version)
+        return stored
+
+    async def _call(self, method: str, path: str, body: Any = None) -> HttpAnswer:
+        self._count("platform.call")
+        return await self._exchange(self._client, method, path, body, CALL_TIMEOUT_S)
+
+    async def _exchange(
+        self, client: HttpClient, method: str, path: str, body: Any, timeout_s: float
+    ) -> HttpAnswer:
+        try:
+            answer = await client.request(method, path, body, timeout_s=timeout_s)
+        except ExchangeError as error:
+            raise PlatformUnavailableError(f"the platform did not answer: {error}") from None
+        if answer.status == 429 or answer.status >= 500:
+            raise PlatformUnavailableError(
+                f"the platform answered {answer.status} to {method}; it is over its rate or away. "
+                "Try again shortly"
+            )
+        return answer
--- /dev/null
+++ b/wharftiller/edges/transport.py
@@ -0,0 +1,101 @@
+"""Byte streams to and from other processes; tests put a network in memory in its place."""
+
+from __future__ import annotations
+
+import ipaddress
+import math
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import trio
+
+from wharftiller.core.errors import ExchangeError
+
+Handler = Callable[[trio.abc.Stream], Awaitable[None]]
+
+BACKLOG = 1024
+
+
+class Transport(Protocol):
+    """Opens and accepts streams by ``ip:port``."""
+
+    async def connect(self, address: str) -> trio.abc.Stream:
+        """Open a stream.
+
+        Raises
+        ------
+        ExchangeError
+            If nobody listens there.
+        """
+        ...
+
+    async def serve(
+        self, address: str, handler: Handler, task_status: trio.TaskStatus[str]
+    ) -> None:
+        """Accept streams for ever; reports the address that was bound."""
+        ...
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Return the parts of ``ip:port``.
+
+    Raises
+    ------
+    ValueError
+        If it is not an IP number and a port; the message names the remedy.
+    """
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        number = int(port)
+    except ValueError:
+        raise ValueError(
+            f"{address!r} is no address; write an IP number and a port, like '10.0.0.7:7000'"
+        ) from None
+    if not 0 <= number < 65536:
+        raise ValueError(f"{address!r} has port {number}; use one from 0 to 65535")
+    return host.strip("[]"), number
+
+
+class TcpTransport:
+    """Streams over TCP."""
+
+    async def connect(self, address: str) -> trio.abc.Stream:
+        """Open a TCP stream to ``ip:port``."""
+        host, port = split_address(address)
+        family = trio.socket.AF_INET6 if ":" in host else trio.socket.AF_INET
+        sock = trio.socket.socket(family)
+        try:
+            await sock.connect((host, port))
+        except OSError as error:
+            sock.close()
+            raise ExchangeError(f"{address} cannot be reached: {error.strerror}") from error
+        except BaseException:
+            sock.close()
+            raise
+        return trio.SocketStream(sock)
+
+    async def serve(
+        self, address: str, handler: Handler, task_status: trio.TaskStatus[str]
+    ) -> None:
+        """Accept TCP streams on ``ip:port``; port 0 picks a free one."""
+        host, port = split_address(address)
+        listeners = await trio.open_tcp_listeners(port, host=host, backlog=BACKLOG)
+        bound = listeners[0].socket.getsockname()
+        task_status.started(f"{bound[0]}:{bound[1]}")
+
+        async def guarded(stream: trio.SocketStream) -> None:
+            async with stream:
+                await handler(stream)
+
+        await trio.serve_listeners(guarded, listeners)
+
+
+async def close_now(stream: trio.abc.AsyncResource) -> None:
+    """Close ``stream`` without waiting for the other side."""
+    await trio.aclose_forcefully(stream)
+
+
+def deadline_after(seconds: float | None) -> float:
+    """Return the trio time ``seconds`` from now; infinity for None."""
+    return math.inf if seconds is None else trio.current_time() + seconds
--- /dev/null
+++ b/wharftiller/logs.py
@@ -0,0 +1,40 @@
+"""Structured logs: short sentences with a fixed prefix for each part."""
+
+from __future__ import annotations
+
+import logging
+import sys
+from typing import Any
+
+from pythonjsonlogger.json import JsonFormatter
+
+
+class PartLog(logging.LoggerAdapter[logging.Logger]):
+    """Logs for one part; keyword ``fields`` become fields of the line."""
+
+    def process(self, msg: Any, kwargs: Any) -> tuple[Any, Any]:
+        """Put the part's prefix before the sentence."""
+        fields = kwargs.pop("fields", {})
+        kwargs["extra"] = {**(self.extra or {}), **fields}
+        return f"{(self.extra or {})['part']}: {msg}", kwargs
+
+
+def part_log(part: str, box: str) -> PartLog:
+    """Return the log of a part (``proxy``, ``steward``, ``admin``) on a box."""
+    return PartLog(logging.getLogger(f"wharftiller.{part}"), {"part": part, "box": box})
+
+
+def set_up_logs(level: str) -> None:
+    """Send logs of ``level`` and above to standard error as JSON lines."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        JsonFormatter(
+            "{asctime}{levelname}{message}",
+            style="{",
+            rename_fields={"asctime": "time", "levelname": "level"},
+        )
+    )
+    root = logging.getLogger("wharftiller")
+    root.handlers = [handler]
+    root.setLevel(level.upper())
+    root.propagate = False
--- /dev/null
+++ b/wharftiller/tests/fakes/network.py
@@ -0,0 +1,181 @@
+"""A network in memory: latency, cuts, frozen and killed hosts, in virtual time."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+
+import attrs
+import trio
+
+from wharftiller.core.errors import ExchangeError
+from wharftiller.edges.transport import Handler
+
+Latency = Callable[[str, str], float]
+
+
+class FakeStream(trio.abc.Stream):
+    """One end of a connection; bytes wait while the link is cut or a host frozen."""
+
+    def __init__(self, network: FakeNetwork, here: str, there: str) -> None:
+        self._network = network
+        self.here = here
+        self.there = there
+        self.peer: FakeStream | None = None
+        self._queue: collections.deque[tuple[float, bytes]] = collections.deque()
+        self._arrived = trio.Event()
+        self._closed = False
+
+    def _put(self, data: bytes) -> None:
+        at = trio.current_time() + self._network.latency(self.there, self.here)
+        if self._queue:
+            at = max(at, self._queue[-1][0])
+        self._queue.append((at, data))
+        self._wake()
+
+    def _wake(self) -> None:
+        self._arrived.set()
+        self._arrived = trio.Event()
+
+    async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        await trio.lowlevel.checkpoint()
+        await self._network.thawed(self.here)
+        if self._closed:
+            raise trio.ClosedResourceError
+        if self.peer is None or self.peer._closed:
+            raise trio.BrokenResourceError
+        self.peer._put(bytes(data))
+
+    async def wait_send_all_might_not_block(self) -> None:
+        await trio.lowlevel.checkpoint()
+
+    async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        await trio.lowlevel.checkpoint()
+        while True:
+            await self._network.thawed(self.here)
+            if self._closed:
+                raise trio.ClosedResourceError
+            if not self._queue:
+                await self._arrived.wait()
+            elif self._network.is_cut(self.there, self.here):
+                await self._network.changed.wait()
+            elif self._queue[0][0] > trio.current_time():
+                await trio.sleep_until(self._queue[0][0])
+            else:
+                return self._queue.popleft()[1]
+
+    async def aclose(self) -> None:
+        self.close_now()
+        await trio.lowlevel.checkpoint()
+
+    def close_now(self) -> None:
+        if not self._closed:
+            self._closed = True
+            self._wake()
+            self._network.streams.discard(self)
+            if self.peer is not None and not self.peer._closed:
+                self.peer._put(b"")
+
+
+@attrs.define
+class _Listener:
+    handler: Handler
+    nursery: trio.Nursery
+
+
+class FakeNetwork:
+    """Hosts by IP number; ``latency(a, b)`` is one way, in seconds."""
+
+    def __init__(self, latency: Latency) -> None:
+        self.latency = latency
+        self.streams: set[FakeStream] = set()
+        self.changed = trio.Event()
+        self._listeners: dict[str, _Listener] = {}
+        self._cuts: set[tuple[str, str]] = set()
+        self._frozen: set[str] = set()
+
+    def host(self, ip: str) -> FakeTransport:
+        return FakeTransport(self, ip)
+
+    def is_cut(self, source: str, target: str) -> bool:
+        return (source, target) in self._cuts
+
+    def cut(self, some: list[str], others: list[str]) -> None:
+        for a in some:
+            for b in others:
+                if a != b:
+                    self._cuts |= {(a, b), (b, a)}
+
+    def heal(self) -> None:
+        self._cuts.clear()
+        self._change()
+
+    def freeze(self, ip: str) -> None:
+        self._frozen.add(ip)
+
+    def thaw(self, ip: str) -> None:
+        self._frozen.discard(ip)
+        self._change()
+
+    async def thawed(self, ip: str) -> None:
+        while ip in self._frozen:
+            await self.changed.wait()
+
+    def kill(self, ip: str) -> None:
+        """Break every connection of ``ip`` and stop listening there."""
+        for address in [each for each in self._listeners if each.startswith(f"{ip}:")]:
+            del self._listeners[address]
+        for stream in [each for each in self.streams if each.here == ip]:
+            stream.close_now()
+
+    def _change(self) -> None:
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def connect(self, source: str, address: str) -> FakeStream:
+        target = address.rpartition(":")[0]
+        await self.thawed(source)
+        while self.is_cut(source, target):
+            await self.changed.wait()
+        await trio.sleep(self.latency(source, target))
+        listener = self._listeners.get(address)
+        if listener is None:
+            raise ExchangeError(f"{address} cannot be reached: nobody listens")
+        near, far = FakeStream(self, source, target), FakeStream(self, target, source)
+        near.peer, far.peer = far, near
+        self.streams |= {near, far}
+        listener.nursery.start_soon(self._serve, listener, far)
+        await trio.sleep(self.latency(target, source))
+        return near
+
+    async def _serve(self, listener: _Listener, stream: FakeStream) -> None:
+        try:
+            await listener.handler(stream)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            pass
+        finally:
+            stream.close_now()
+
+    async def listen(
+        self, address: str, handler: Handler, task_status: trio.TaskStatus[str]
+    ) -> None:
+        async with trio.open_nursery() as nursery:
+            self._listeners[address] = _Listener(handler, nursery)
+            task_status.started(address)
+            await trio.sleep_forever()
+
+
+@attrs.define
+class FakeTransport:
+    """The transport of one host."""
+
+    network: FakeNetwork
+    ip: str
+
+    async def connect(self, address: str) -> trio.abc.Stream:
+        return await self.network.connect(self.ip, address)
+
+    async def serve(
+        self, address: str, handler: Handler, task_status: trio.TaskStatus[str]
+    ) -> None:
+        await self.network.listen(address, handler, task_status)
