--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -69,6 +69,7 @@
         self._follow_changed = trio.Event()
         self._quiesced_until = math.inf
         self._frozen: trio.Event | None = None
+        self._writes_held: trio.Event | None = None
 
     # Statements ---------------------------------------------------------
 
@@ -117,6 +118,8 @@
         queued_at = trio.current_time()
         async with self._slots:
             await trio.sleep(self.options.service_ms / 1000)
+            if action is Action.WRITE and self._writes_held is not None:
+                await self._writes_held.wait()
             await self._thaw()
             if (trio.current_time() - queued_at) * 1000 > body["deadline_ms"]:
                 return self._refusal(body, "its deadline passed in the queue")
@@ -320,6 +323,16 @@
             self._frozen.set()
             self._frozen = None
 
+    def hold_writes(self) -> None:
+        """Let writes wait in their slots until `release_writes`."""
+        self._writes_held = self._writes_held or trio.Event()
+
+    def release_writes(self) -> None:
+        """Let held writes go on."""
+        held, self._writes_held = self._writes_held, None
+        if held is not None:
+            held.set()
+
     def _fault(self, body: dict[str, Any]) -> HttpResponse:
         for name, value in body.items():
             match name:
--- a/wharftiller/tests/fakes/network.py
+++ b/wharftiller/tests/fakes/network.py
@@ -128,6 +128,12 @@
         for stream in [each for each in self.streams if each.here == ip]:
             stream.close_now()
 
+    def break_streams(self, ip: str) -> None:
+        """Break the other side of every connection to ``ip``, which does not notice yet."""
+        for stream in [each for each in self.streams if each.there == ip]:
+            stream.peer = None
+            stream._put(b"")
+
     def _change(self) -> None:
         self.changed.set()
         self.changed = trio.Event()
@@ -162,7 +168,10 @@
         async with trio.open_nursery() as nursery:
             self._listeners[address] = _Listener(handler, nursery)
             task_status.started(address)
-            await trio.sleep_forever()
+            try:
+                await trio.sleep_forever()
+            finally:
+                self._listeners.pop(address, None)
 
 
 @attrs.define
--- a/wharftiller/tests/fakes/world.py
+++ b/wharftiller/tests/fakes/world.py
@@ -66,18 +66,41 @@
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
 
 
-@attrs.frozen
+@attrs.frozen(eq=False)
 class Told:
-    """What a caller was told."""
+    """What a caller asked and was told; ``after`` is the answer whose session it carried."""
 
     at: float
     asked_at: float
+    asked: dict[str, Any]
     body: dict[str, Any]
+    after: Told | None = None
 
     @property
     def outcome(self) -> str:
         return str(self.body.get("outcome"))
 
+    @property
+    def kind(self) -> str:
+        return str(self.asked["kind"])
+
+    @property
+    def business(self) -> str:
+        return str(self.asked["business"])
+
+    @property
+    def request_id(self) -> str:
+        return str(self.asked["request_id"])
+
+    @property
+    def key(self) -> Any:
+        statement = self.asked.get("statement") or {}
+        return statement.get("append") or statement.get("get")
+
+    @property
+    def value(self) -> Any:
+        return (self.asked.get("statement") or {}).get("value")
+
 
 class World:
     """The deployment; hosts have names: ``box-1``, ``group-1-a``, ``platform``."""
@@ -248,7 +271,9 @@
         assert "plan" in plan, plan
         return await self.admin("POST", f"/plans/{plan['plan']}/confirm", None, box)
 
-    async def ask(self, box: str, business: str = "rila", **fields: Any) -> Told:
+    async def ask(
+        self, box: str, business: str = "rila", after: Told | None = None, **fields: Any
+    ) -> Told:
         """Ask a box's proxy for a statement and note what the caller was told."""
         asked_at = trio.current_time()
         body = {
@@ -258,17 +283,19 @@
             "deadline_ms": 5_000,
             **fields,
         }
+        if after is not None:
+            body["session"] = after.body.get("session")
         headers = bearer_header(KEYS.mint("business", f"{POOL}/{business}"))
         client = HttpClient(self.network.host(CLIENT), f"{self.ips[box]}:7100")
         timeout_s = body["deadline_ms"] / 1000 + 1
         try:
             answer = await client.request("POST", "/statements", body, headers, timeout_s=timeout_s)
-            told = Told(trio.current_time(), asked_at, answer.json())
+            answered = answer.json()
         except ExchangeError as error:
-            lost = {"outcome": "lost", "message": str(error), "request_id": body["request_id"]}
-            told = Told(trio.current_time(), asked_at, lost)
+            answered = {"outcome": "lost", "message": str(error)}
         finally:
             await client.aclose()
+        told = Told(trio.current_time(), asked_at, body, answered, after)
         self.told.append(told)
         return told
 
