--- /dev/null
+++ b/benchmarks/figures.py
@@ -0,0 +1,54 @@
+"""Figures: several runs of one quantity, printed as a line."""
+
+from __future__ import annotations
+
+import statistics
+
+import attrs
+
+
+@attrs.frozen
+class Figure:
+    """One measured quantity.
+
+    Attributes
+    ----------
+    values : tuple of float
+        One value a run.
+    aim : str
+        What the users ask for, if they do.
+    """
+
+    name: str
+    unit: str
+    values: tuple[float, ...]
+    aim: str = ""
+
+    def line(self) -> str:
+        """Return name, median, unit, spread and aim."""
+        if not self.values:
+            return f"{self.name}  not measured"
+        median = statistics.median(self.values)
+        low, high = min(self.values), max(self.values)
+        spread = f"{len(self.values)} runs, {low:.4g} to {high:.4g}"
+        aim = f"; aim {self.aim}" if self.aim else ""
+        return f"{self.name}  {median:.4g}  {self.unit}  ({spread}{aim})"
+
+
+def merged(runs: list[list[Figure]]) -> list[Figure]:
+    """Return one figure a name with the values of every run."""
+    found: dict[str, Figure] = {}
+    for run in runs:
+        for figure in run:
+            before = found.get(figure.name)
+            values = (*before.values, *figure.values) if before else figure.values
+            found[figure.name] = attrs.evolve(figure, values=values)
+    return list(found.values())
+
+
+def percentile(values: list[float], share: float) -> float:
+    """Return the value below which ``share`` (0 to 1) of ``values`` lie; 0 if there are none."""
+    if not values:
+        return 0.0
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(share * len(ordered)))]
--- /dev/null
+++ b/benchmarks/load.py
@@ -0,0 +1,146 @@
+"""Open-loop load on a deployment in virtual time."""
+
+from __future__ import annotations
+
+import random
+from typing import Any
+
+import attrs
+import trio
+
+from benchmarks.model import Mix
+from wharftiller.core.errors import ExchangeError
+from wharftiller.edges.http import HttpClient
+from wharftiller.keys import bearer_header
+from wharftiller.tests.fakes.world import CLIENT, KEYS, POOL, World
+
+DEADLINE_MS = 2_000
+
+
+@attrs.frozen
+class Sample:
+    """One request: what it was, when, and what came of it.
+
+    Attributes
+    ----------
+    took_s : float
+        Time from asking to the answer, in seconds.
+    """
+
+    kind: str
+    business: str
+    asked_at: float
+    took_s: float
+    outcome: str
+    endpoint: str | None
+    reason: str = ""
+
+    @property
+    def answered_at(self) -> float:
+        """When the answer came."""
+        return self.asked_at + self.took_s
+
+
+@attrs.define
+class Load:
+    """Asks at random times, whatever the answers, over kept connections.
+
+    Attributes
+    ----------
+    samples : list of Sample
+        Every finished request.
+    """
+
+    world: World
+    mix: Mix
+    random: random.Random
+    businesses: tuple[str, ...]
+    name: str = "load"
+    repeatable: bool = False
+    deadline_ms: int = DEADLINE_MS
+    samples: list[Sample] = attrs.field(factory=list)
+    _idle: dict[str, list[HttpClient]] = attrs.field(factory=dict)
+    _sessions: dict[str, str] = attrs.field(factory=dict)
+    _numbers: int = 0
+
+    async def run(self, seconds: float) -> None:
+        """Ask for ``seconds`` and wait for the answers."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._ask_at_rate, nursery, "write", self.mix.bookings, seconds)
+            nursery.start_soon(self._ask_at_rate, nursery, "read", self.mix.lookups, seconds)
+
+    async def _ask_at_rate(
+        self, nursery: trio.Nursery, kind: str, per_s: float, seconds: float
+    ) -> None:
+        end = trio.current_time() + seconds
+        while per_s and trio.current_time() < end:
+            await trio.sleep(self.random.expovariate(per_s))
+            nursery.start_soon(self._ask, kind)
+
+    def _body(self, kind: str, business: str) -> dict[str, Any]:
+        self._numbers += 1
+        body: dict[str, Any] = {
+            "pool": POOL,
+            "business": business,
+            "request_id": f"{self.name}-{self._numbers}",
+            "kind": kind,
+            "deadline_ms": self.deadline_ms,
+        }
+        if kind == "write":
+            body["statement"] = {"put": f"tour-{self._numbers % 50}", "value": self._numbers}
+            body["repeatable"] = self.repeatable
+            return body
+        body["statement"] = {"get": f"tour-{self.random.randrange(50)}"}
+        chance = self.random.random()
+        if chance < self.mix.latest_share:
+            body["max_age_ms"] = 0
+        else:
+            body["max_age_ms"] = self.mix.max_age_ms
+            if chance < self.mix.latest_share + self.mix.session_share:
+                body["session"] = self._sessions.get(business)
+        return body
+
+    async def _ask(self, kind: str) -> None:
+        business = self.random.choice(self.businesses)
+        box = self.random.choice(sorted(self.world.boxes))
+        body = self._body(kind, business)
+        headers = bearer_header(KEYS.mint("business", f"{POOL}/{business}"))
+        asked_at = trio.current_time()
+        client = await self._client(box)
+        try:
+            answer = await client.request(
+                "POST", "/statements", body, headers, timeout_s=self.deadline_ms / 1000 + 1
+            )
+            answered = answer.json()
+            self._idle[box].append(client)
+        except ExchangeError:
+            answered = {"outcome": "lost"}
+        if kind == "write" and answered["outcome"] == "done":
+            self._sessions[business] = answered["session"]
+        label = kind if kind == "write" or body["max_age_ms"] else "latest"
+        took_s = trio.current_time() - asked_at
+        self.samples.append(
+            Sample(
+                label,
+                business,
+                asked_at,
+                took_s,
+                answered["outcome"],
+                answered.get("endpoint"),
+                answered.get("reason", ""),
+            )
+        )
+
+    async def _client(self, box: str) -> HttpClient:
+        idle = self._idle.setdefault(box, [])
+        if idle:
+            return idle.pop()
+        return HttpClient(self.world.network.host(CLIENT), f"{self.world.ips[box]}:7100")
+
+    def times(self, kind: str, outcome: str = "done") -> list[float]:
+        """Return the times of the requests of a kind that ended so, in milliseconds."""
+        return [
+            sample.took_s * 1000
+            for sample in self.samples
+            if sample.kind == kind and sample.outcome == outcome
+        ]
--- a/standins/database.py
+++ b/standins/database.py
@@ -107,7 +107,7 @@
             opened=self.opened,
             role=Role.PRIMARY if self.leads else Role.REPLICA,
             leaving=self.leaving,
-            quiescing=self.quiesce != QUIESCE_NOTHING,
+            quiescing=self.quiesce == QUIESCE_ALL,
             primary_silent_ms=primary_silent_ms,
             open_transactions=self.open_transactions,
         )
--- a/wharftiller/core/dispatch.py
+++ b/wharftiller/core/dispatch.py
@@ -62,6 +62,8 @@
     server = tables.primary_of(group)
     if server is None or now < group.hold_until:
         return
+    if server.is_quiescing:
+        want_report(tables, server, now)
     lines = group.queue.lines
     while True:
         line = _next_primary_line(tables, group, server)
@@ -84,6 +86,8 @@
     for line in _PRIMARY_LINES:
         if not group.queue.lines[line]:
             continue
+        if line is not Line.PRIMARY_LOOKUP and server.is_quiescing:
+            continue
         if line is Line.PRIMARY_LOOKUP and not _lookup_may_use(tables, group, server):
             return None
         return line
--- a/wharftiller/core/messages.py
+++ b/wharftiller/core/messages.py
@@ -109,6 +109,8 @@
         Index of its last log record.
     opened : int
         Index of the record that opened ``log_term``.
+    quiescing : bool
+        Whether it refuses writes because another is about to lead.
     primary_silent_ms : int
         Time since it last heard from the primary it follows, in milliseconds.
     """
--- a/wharftiller/core/proxy.py
+++ b/wharftiller/core/proxy.py
@@ -42,6 +42,9 @@
 
 RETRY_CONNECT_S = 0.1
 
+DEPOSED_GRACE_S = 0.1
+"""Time an older primary has to answer what it owes once a new one leads, in seconds."""
+
 
 class ProxyCore:
     """Decides for one proxy; holds no socket and no clock.
@@ -234,9 +237,19 @@
         dispatch(self._tables, group, now)
 
     def _primary_changed(self, group: GroupRow, now: float) -> None:
-        """Give up on what an older primary still owes."""
         group.hold_until = 0.0
+        group.changed_at = now
         self._tables.count("primaries.changed")
+        self._progress_all(group, now)
+
+    def _give_up_on_deposed(self, group: GroupRow, now: float) -> None:
+        """Give up on what an older primary still owes some time after a new one leads.
+
+        A fenced primary that is well answers within that time what it did not
+        run, which then runs on the new one.
+        """
+        if now - group.changed_at < DEPOSED_GRACE_S:
+            return
         for connection in list(self._tables.connections.values()):
             server = self._tables.servers.get(connection.endpoint)
             if server is None or server.group != group.name or server.name == group.primary:
@@ -246,7 +259,6 @@
             if deposed or connection.transaction is not None:
                 close_connection(self._tables, connection)
                 self._owed_answer_lost(connection, now)
-        self._progress_all(group, now)
 
     def _progress_all(self, group: GroupRow, now: float) -> None:
         for key in sorted(group.checking):
@@ -260,5 +272,6 @@
         heartbeat(self._tables, now)
         trim_connections(self._tables, now)
         for group in self._tables.groups.values():
+            self._give_up_on_deposed(group, now)
             self._progress_all(group, now)
             dispatch(self._tables, group, now)
--- a/wharftiller/core/tables.py
+++ b/wharftiller/core/tables.py
@@ -70,6 +70,11 @@
     lanes: dict[Lane, LaneState] = attrs.field(factory=lambda: {lane: LaneState() for lane in Lane})
     connections: list[int] = attrs.field(factory=list)
 
+    @property
+    def is_quiescing(self) -> bool:
+        """Whether it last said that it refuses writes for a change of primary."""
+        return self.report is not None and self.report.quiescing
+
     @property
     def is_leaving(self) -> bool:
         """Whether an operator or the server itself says it is leaving."""
@@ -86,6 +91,8 @@
         Highest term in which a server is known to lead.
     hold_until : float
         Writes wait until then: the primary just refused one.
+    changed_at : float
+        When the present primary became known here.
     checking : set of int
         Keys of the requests whose answer waits for a report.
     """
@@ -96,6 +103,7 @@
     term: int = 0
     primary: str | None = None
     hold_until: float = 0.0
+    changed_at: float = -math.inf
     fresh: FreshPoints = attrs.field(factory=FreshPoints)
     checking: set[int] = attrs.field(factory=set)
 
--- a/wharftiller/edges/platform.py
+++ b/wharftiller/edges/platform.py
@@ -116,8 +116,8 @@
     ) -> StoredObject:
         """Write an object that is at ``if_version`` (0: that does not exist).
 
-        An update whose answer is lost is read back and compared by its attempt
-        id, so it is known whether it took effect.
+        An update whose answer is lost is sent again; when that conflicts, the
+        object is read back and its attempt id tells whose update took effect.
 
         Raises
         ------
@@ -127,26 +127,25 @@
             If it stays unknown; asking again with the same attempt is safe.
         """
         attempt = attempt or new_attempt()
+        body = {"value": value, "if_version": if_version, "attempt": attempt}
         for left in reversed(range(UPDATE_TRIES)):
             try:
-                return await self._update_once(key, value, if_version, attempt)
+                answer = await self._call("PUT", f"/objects/{quote(key)}", body)
             except PlatformUnavailableError:
                 if not left:
                     raise
-            written = await self.read(key)
-            if written is not None and written.attempt == attempt:
-                return written
+                continue
+            if answer.status == 409:
+                return await self._own_earlier_update(key, if_version, attempt)
+            return from_peer(answer.json(), StoredObject)
         raise AssertionError("unreachable")
 
-    async def _update_once(
-        self, key: str, value: Any, if_version: int, attempt: str
-    ) -> StoredObject:
-        body = {"value": value, "if_version": if_version, "attempt": attempt}
-        answer = await self._call("PUT", f"/objects/{quote(key)}", body)
-        stored = from_peer(answer.json(), StoredObject)
-        if answer.status == 409 and stored.attempt != attempt:
-            raise ConflictError(key, if_version, stored.version)
-        return stored
+    async def _own_earlier_update(self, key: str, if_version: int, attempt: str) -> StoredObject:
+        """Return the object if this attempt wrote it, its answer having been lost."""
+        written = await self.read(key)
+        if written is not None and written.attempt == attempt:
+            return written
+        raise ConflictError(key, if_version, written.version if written else 0)
 
     async def _call(self, method: str, path: str, body: Any = None) -> HttpAnswer:
         self._count("platform.call")
--- a/wharftiller/tests/core/test_promotion.py
+++ b/wharftiller/tests/core/test_promotion.py
@@ -154,6 +154,12 @@
         driver.feed(RecordConflict("g"))
         assert driver.orders(Order.FENCE) == []
 
+    def test_primary_that_another_has_just_made_is_left(self) -> None:
+        driver = Driver()
+        driver.lose_primary()
+        driver.feed(RecordRead("g", 8, GroupRecord(2, "box-2", LeadState.LED, "b")))
+        assert driver.of(UpdateRecord) == []
+
     def test_server_that_promised_a_later_term_ends_the_attempt(self) -> None:
         driver = Driver()
         driver.lose_primary()
--- a/wharftiller/tests/core/test_proxy.py
+++ b/wharftiller/tests/core/test_proxy.py
@@ -135,9 +135,31 @@
         driver.ask(Action.WRITE)
         old = driver.sent()[-1]
         driver.feed(PrimaryNoticed("g", 2, "b"))
+        assert CloseConnection(old.connection) not in driver.outputs
+        driver.now += 0.11
+        driver.feed(Tick())
         assert CloseConnection(old.connection) in driver.outputs
         assert driver.core.tables.requests[1001].settling
 
+    def test_statement_that_a_deposed_primary_refuses_runs_on_the_new_one(self) -> None:
+        driver = Driver()
+        driver.ask(Action.WRITE)
+        old = driver.sent()[-1]
+        driver.feed(PrimaryNoticed("g", 2, "b"))
+        driver.answer(old, driver.state("a", promised=2), Verdict.NOT_RUN, why="term 2")
+        driver.now += 0.02
+        driver.feed(Tick())
+        again = driver.sent()[-1]
+        assert (driver.endpoint_of(again), again.action) == ("b", Action.WRITE)
+
+    def test_quiescing_primary_is_sent_no_write(self) -> None:
+        driver = Driver()
+        driver.report("a", role=Role.PRIMARY, quiescing=True)
+        driver.ask(Action.WRITE)
+        assert driver.sent() == []
+        driver.report("a", role=Role.PRIMARY)
+        assert len(driver.sent()) == 1
+
     def test_crossed_answer_reaches_nobody(self) -> None:
         driver = Driver()
         key = driver.ask(Action.WRITE)
