Replace a primary that was fenced and left; traces, watchers, random faults

Change: silence is counted from the last report in which a server said that it leads, and a deposed primary counts among the servers that can be fenced. Also: a group is watched by two stewards of each data centre (rank by shards, so that a changed list costs the same whatever the number of groups); a proxy can record its decisions and wharfctl replay runs them again; a tie between replicas draws no random number while nothing waits, which made replays differ.

--- a/wharftiller/cli/admin.py
+++ b/wharftiller/cli/admin.py
@@ -2,19 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Annotated
 
 import typer
 
-from wharftiller.cli.daemon import run_daemon
+from wharftiller.cli.daemon import Run, Stop, run_daemon
 from wharftiller.daemons.admin import AdminDaemon
 from wharftiller.edges.transport import TcpTransport
 from wharftiller.settings import Settings
 
 
-def _daemon(settings: Settings) -> tuple[Callable[[], Awaitable[None]], Callable[[], None] | None]:
+def _daemon(settings: Settings) -> tuple[Run, Stop]:
     daemon = AdminDaemon(settings, TcpTransport())
     return daemon.run, None
 
--- a/wharftiller/cli/daemon.py
+++ b/wharftiller/cli/daemon.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
 from pathlib import Path
 
 import trio
@@ -14,6 +14,9 @@
 
 BAD_SETTINGS = 2
 
+Run = Callable[[], Awaitable[None]]
+Stop = Callable[[], None] | None
+
 
 def settings_or_exit(path: Path) -> Settings:
     """Return the settings of ``path``, or print every fault and exit with 2."""
@@ -35,7 +38,7 @@
 def run_daemon(
     path: Path,
     check: bool,
-    main: Callable[[Settings], tuple[Callable[[], Awaitable[None]], Callable[[], None] | None]],
+    main: Callable[[Settings], tuple[Run, Stop]],
 ) -> None:
     """Check settings, then run a daemon until it is told to stop.
 
@@ -53,9 +56,7 @@
     trio.run(_run_until_told, run, stop)
 
 
-async def _run_until_told(
-    run: Callable[[], Awaitable[None]], stop: Callable[[], None] | None
-) -> None:
+async def _run_until_told(run: Run, stop: Stop) -> None:
     async with trio.open_nursery() as nursery:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             nursery.start_soon(_stop_on_signal, signals, stop, nursery)
@@ -63,11 +64,9 @@
             nursery.cancel_scope.cancel()
 
 
-async def _stop_on_signal(
-    signals: object, stop: Callable[[], None] | None, nursery: trio.Nursery
-) -> None:
+async def _stop_on_signal(signals: AsyncIterator[int], stop: Stop, nursery: trio.Nursery) -> None:
     first = True
-    async for _ in signals:  # type: ignore[attr-defined]
+    async for _ in signals:
         if stop is None or not first:
             nursery.cancel_scope.cancel()
             return
--- a/wharftiller/cli/proxy.py
+++ b/wharftiller/cli/proxy.py
@@ -2,29 +2,32 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Annotated
 
 import typer
 
-from wharftiller.cli.daemon import run_daemon
+from wharftiller.cli.daemon import Run, Stop, run_daemon
 from wharftiller.daemons.proxy import ProxyDaemon
 from wharftiller.edges.transport import TcpTransport
 from wharftiller.settings import Settings
 
 
-def _daemon(settings: Settings) -> tuple[Callable[[], Awaitable[None]], Callable[[], None] | None]:
-    daemon = ProxyDaemon(settings, TcpTransport())
-    return daemon.run, daemon.stop
-
-
 def _command(
     settings: Annotated[Path, typer.Option(help="The box's settings file.")],
     check: Annotated[bool, typer.Option(help="Only check the settings.")] = False,
+    record: Annotated[
+        Path | None, typer.Option(help="Record every decision here; see 'wharfctl replay'.")
+    ] = None,
 ) -> None:
     """Serve callers' statements."""
-    run_daemon(settings, check, _daemon)
+
+    def make(checked: Settings) -> tuple[Run, Stop]:
+        trace = record.open("w", encoding="utf-8") if record else None
+        daemon = ProxyDaemon(checked, TcpTransport(), trace=trace)
+        return daemon.run, daemon.stop
+
+    run_daemon(settings, check, make)
 
 
 def main() -> None:
--- a/wharftiller/cli/wharfctl.py
+++ b/wharftiller/cli/wharfctl.py
@@ -14,8 +14,11 @@
 
 from wharftiller.cli.calls import CallError, Target, call
 from wharftiller.cli.daemon import print_faults, settings_or_exit
+from wharftiller.core.errors import BadRequestError
 from wharftiller.keys import KeyRing
 from wharftiller.settings import SettingsErrorGroup, load_settings
+from wharftiller.traces import read_trace
+from wharftiller.traces import replay as replay_trace
 
 app = typer.Typer(
     no_args_is_help=True,
@@ -219,6 +222,27 @@
         raise typer.Exit(REFUSED)
 
 
+@app.command()
+def replay(trace: Annotated[Path, typer.Argument(help="A file that a proxy recorded.")]) -> None:
+    """Run a proxy's recorded decisions again and print every answer with its steps."""
+    try:
+        header, lines = read_trace(trace)
+    except (OSError, BadRequestError) as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(BAD_USAGE) from None
+    steps = list(replay_trace(header, lines))
+    for step in steps:
+        for given in step.answers:
+            answer = given.answer
+            typer.echo(f"{step.line.at:10.3f} {answer.request_id}: {answer.outcome.value}")
+            for reason in answer.steps:
+                typer.echo(f"           {reason.kind.value:<22} {reason.detail}")
+    different = sum(1 for step in steps if not step.same)
+    typer.echo(f"{len(steps)} steps, {different} differ from what was recorded")
+    if different:
+        raise typer.Exit(REFUSED)
+
+
 @app.command()
 def key(
     purpose: Annotated[str, typer.Argument(help="'business' or 'operator'.")],
--- a/wharftiller/core/dispatch.py
+++ b/wharftiller/core/dispatch.py
@@ -29,6 +29,8 @@
 
 def _dispatch_replicas(tables: Tables, group: GroupRow, now: float) -> None:
     line = group.queue.lines[Line.REPLICA_LOOKUP]
+    if not line:
+        return
     servers = sorted(replicas_of(tables, group), key=_load_of(tables))
     for server in servers:
         if not line:
--- a/wharftiller/core/promotion.py
+++ b/wharftiller/core/promotion.py
@@ -11,7 +11,6 @@
 import attrs
 
 from wharftiller.core.messages import Role
-from wharftiller.core.rendezvous import rank
 from wharftiller.core.steward_messages import (
     GiveOrder,
     GroupRecord,
@@ -65,9 +64,10 @@
     if not isinstance(group.step, Watching):
         _push_on(tables, group, now)
         return
-    if now < group.next_try_at:
+    rank = tables.rank_for(group.spec.name)
+    if rank is None or now < group.next_try_at:
         return
-    delay = RANK_DELAY_S * min(rank(group.spec.name, tables.boxes, tables.box), MOST_RANKS)
+    delay = RANK_DELAY_S * min(rank, MOST_RANKS)
     if _primary_is_lost(tables, group, now, delay):
         _start(tables, group, None, now)
         return
@@ -86,22 +86,17 @@
 
 
 def _primary_is_lost(tables: WatchTables, group: WatchedGroup, now: float, delay: float) -> bool:
-    others = [name for name in group.names if name != group.primary]
-    heard = [name for name in others if _heard(tables, name, now)]
+    silent_s = now - group.led_at
+    leads = group.primary if silent_s <= RECENT_S else None
+    heard = [name for name in group.names if name != leads and _heard(tables, name, now)]
     if len(heard) < MAJORITY:
         return False
-    silent_s = _silence(tables, group, now)
     cut_off = [name for name in heard if _lost_its_primary(tables, name)]
     if len(cut_off) == len(heard):
         return silent_s >= tables.detect_s + delay or _all_cut_off(tables, group, heard, delay)
     return silent_s >= 3 * tables.detect_s + delay
 
 
-def _silence(tables: WatchTables, group: WatchedGroup, now: float) -> float:
-    primary = tables.server(group.primary)
-    return now - (group.since if primary is None else primary.heard_at)
-
-
 def _lost_its_primary(tables: WatchTables, name: str) -> bool:
     report = tables.servers[name].report
     return report is not None and report.primary_silent_ms >= tables.detect_s * 500
@@ -157,7 +152,7 @@
     group.wish = wish
     group.started_at = now
     if wish is None:
-        silent_s = _silence(tables, group, now)
+        silent_s = now - group.led_at
         text = f"has no primary answer for {silent_s:.1f} s; starting promotion"
     else:
         text = f"changes its primary to {wish.target} as planned"
@@ -402,7 +397,7 @@
 def _promoted(tables: WatchTables, group: WatchedGroup, term: int, chosen: str, now: float) -> None:
     group.term = term
     group.primary = chosen
-    tables.servers[chosen].heard_at = now
+    group.led_at = now
     tables.emit(NoticePrimary(group.spec.name, term, chosen))
     for name in group.names:
         if name != chosen:
--- a/wharftiller/core/steward.py
+++ b/wharftiller/core/steward.py
@@ -5,9 +5,10 @@
 from typing import TYPE_CHECKING
 
 from wharftiller.core import promotion
-from wharftiller.core.messages import BoxesListed, ConfigurationArrived, Report, Role, Tick
+from wharftiller.core.messages import ConfigurationArrived, Report, Role, Tick
 from wharftiller.core.steward_messages import (
     AskReport,
+    BoxesPlaced,
     OrderAnswered,
     OrderLost,
     PlatformFailed,
@@ -69,8 +70,8 @@
                 self._silent(name)
             case ConfigurationArrived(configuration):
                 self._configure(configuration, now)
-            case BoxesListed(names):
-                self._tables.boxes = names
+            case BoxesPlaced(boxes):
+                self._tables.place_boxes(boxes)
             case Tick():
                 self._tick(now)
             case _:
@@ -116,9 +117,11 @@
         server.report = report
         server.heard_at = now
         group = self._tables.groups[server.group]
-        if report.role is Role.PRIMARY and report.settled and report.promised > group.term:
+        leads = report.role is Role.PRIMARY and report.settled
+        if leads and report.promised >= group.term:
             group.term = report.promised
             group.primary = name
+            group.led_at = now
 
     def _silent(self, name: str) -> None:
         server = self._tables.servers.get(name)
@@ -133,7 +136,7 @@
         for spec in configuration.groups.values():
             group = tables.groups.get(spec.name)
             if group is None:
-                tables.groups[spec.name] = WatchedGroup(spec, since=now)
+                tables.groups[spec.name] = WatchedGroup(spec, led_at=now)
             else:
                 group.spec = spec
             for endpoint in spec.endpoints:
@@ -146,21 +149,28 @@
 
     def _tick(self, now: float) -> None:
         self._notice_pause(now)
-        for server in self._tables.servers.values():
+        for group in self._tables.groups.values():
+            watched = self._tables.rank_for(group.spec.name) is not None
+            under_way = not isinstance(group.step, Watching)
+            if watched or under_way:
+                self._watch(group, now)
+
+    def _watch(self, group: WatchedGroup, now: float) -> None:
+        for name in group.names:
+            server = self._tables.servers[name]
             if server.asked_at is None and now - server.last_asked_at >= PROBE_S:
                 server.asked_at = now
                 server.last_asked_at = now
                 self._tables.emit(AskReport(server.name, server.control_address))
-        for group in self._tables.groups.values():
-            promotion.consider(self._tables, group, now)
-            if isinstance(group.step, Watching):
-                promotion.remind_followers(self._tables, group, now)
+        promotion.consider(self._tables, group, now)
+        if isinstance(group.step, Watching):
+            promotion.remind_followers(self._tables, group, now)
 
     def _notice_pause(self, now: float) -> None:
-        """After a pause of this process, give every server a fresh chance to answer."""
+        """After a pause of this process, give every primary a fresh chance to answer."""
         ticked_at = self._tables.ticked_at
         self._tables.ticked_at = now
         if ticked_at is None or now - ticked_at < PAUSE_S:
             return
-        for server in self._tables.servers.values():
-            server.heard_at = now
+        for group in self._tables.groups.values():
+            group.led_at = now
--- a/wharftiller/core/steward_messages.py
+++ b/wharftiller/core/steward_messages.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from wharftiller.core.messages import BoxesListed, ConfigurationArrived, Report, Tick
+from wharftiller.core.messages import ConfigurationArrived, Report, Tick
 
 
 class Order(enum.Enum):
@@ -119,6 +119,13 @@
     term: int
 
 
+@attrs.frozen
+class BoxesPlaced:
+    """The platform's lagging list: the data centre of each box that is not leaving."""
+
+    boxes: dict[str, str]
+
+
 StewardInput = (
     ServerReported
     | ServerSilent
@@ -129,7 +136,7 @@
     | OrderAnswered
     | OrderLost
     | ConfigurationArrived
-    | BoxesListed
+    | BoxesPlaced
     | Tick
 )
 
--- a/wharftiller/core/watch_tables.py
+++ b/wharftiller/core/watch_tables.py
@@ -9,6 +9,7 @@
 from wharftiller.core.configuration import Configuration, GroupSpec
 from wharftiller.core.messages import Report
 from wharftiller.core.steward_messages import GroupRecord, Order, StewardOutput
+from wharftiller.core.watching import watch_rank, watch_shard
 
 
 @attrs.frozen
@@ -125,6 +126,8 @@
 
     Attributes
     ----------
+    led_at : float
+        When a server last said that it leads the newest term, in seconds.
     version : int
         Version of the group's record that the attempt is based on.
     record_seen : tuple of int and float
@@ -134,7 +137,7 @@
     """
 
     spec: GroupSpec
-    since: float
+    led_at: float
     term: int = 0
     primary: str | None = None
     step: Step = Watching()
@@ -157,7 +160,13 @@
 
 @attrs.define
 class WatchTables:
-    """All rows of one steward."""
+    """All rows of one steward.
+
+    Attributes
+    ----------
+    boxes : dict of str to str
+        Data centre by box, from the platform's lagging list.
+    """
 
     box: str
     random: random.Random
@@ -165,9 +174,23 @@
     configuration: Configuration = attrs.field(factory=Configuration)
     servers: dict[str, WatchedServer] = attrs.field(factory=dict)
     groups: dict[str, WatchedGroup] = attrs.field(factory=dict)
-    boxes: tuple[str, ...] = ()
+    boxes: dict[str, str] = attrs.field(factory=dict)
     ticked_at: float | None = None
     outputs: list[StewardOutput] = attrs.field(factory=list)
+    _ranks: dict[int, int | None] = attrs.field(factory=dict)
+
+    def place_boxes(self, boxes: dict[str, str]) -> None:
+        """Take in a list of boxes."""
+        if boxes != self.boxes:
+            self.boxes = boxes
+            self._ranks.clear()
+
+    def rank_for(self, group: str) -> int | None:
+        """Return this steward's rank among the watchers of ``group``; None if it is none."""
+        shard = watch_shard(group)
+        if shard not in self._ranks:
+            self._ranks[shard] = watch_rank(shard, self.boxes, self.box)
+        return self._ranks[shard]
 
     def emit(self, output: StewardOutput) -> None:
         """Ask for something to be done."""
--- a/wharftiller/daemons/proxy.py
+++ b/wharftiller/daemons/proxy.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import itertools
 import random
-from collections.abc import Callable
+from typing import TextIO
 
 import attrs
 import trio
@@ -43,6 +44,7 @@
 from wharftiller.logs import part_log
 from wharftiller.metrics import Metrics
 from wharftiller.settings import Settings
+from wharftiller.traces import TraceHeader, TraceRecorder
 
 TICK_S = 0.01
 PUBLISH_S = 1.0
@@ -66,8 +68,8 @@
     ----------
     transport : Transport
         Opens and accepts every stream.
-    record : callable or None
-        Told every input of the core with its time, to record a trace.
+    trace : file or None
+        Where to record every step of the core (`wharftiller.traces`).
     """
 
     def __init__(
@@ -76,15 +78,18 @@
         transport: Transport,
         *,
         seed: int | None = None,
-        record: Callable[[float, Input], None] | None = None,
+        trace: TextIO | None = None,
     ) -> None:
         self._settings = settings
         self._transport = transport
-        self._record = record
         self._log = part_log("proxy", settings.box.name)
         self._metrics = Metrics(settings.metrics.statsd, "proxy")
         lag = settings.platform.list_lag_s
+        seed = random.SystemRandom().getrandbits(32) if seed is None else seed
         self._core = ProxyCore(settings.box.name, random.Random(seed), lag)
+        header = TraceHeader(settings.box.name, seed, lag)
+        self._recorder = None if trace is None else TraceRecorder(trace, header)
+        self._keys = itertools.count(1)
         self._holder = ConfigurationHolder()
         self._waiters: dict[int, _Waiter] = {}
         self._unready = False
@@ -133,9 +138,11 @@
     def feed(self, message: Input) -> None:
         """Give the core an input and carry out what it asks for."""
         now = trio.current_time()
-        if self._record is not None:
-            self._record(now, message)
-        for output in self._core.handle(message, now):
+        outputs = self._core.handle(message, now)
+        if self._recorder is not None:
+            idle = not self._core.tables.requests
+            self._recorder.record(now, message, outputs, idle=idle)
+        for output in outputs:
             self._carry_out(output)
 
     def _carry_out(self, output: Output) -> None:
@@ -158,7 +165,7 @@
 
     async def ask(self, request: Request) -> Answer:
         """Run a request and return its one final answer."""
-        key = self._core.tables.next_number()
+        key = next(self._keys)
         waiter = _Waiter()
         self._waiters[key] = waiter
         self.feed(StatementArrived(key, request))
--- a/wharftiller/daemons/steward.py
+++ b/wharftiller/daemons/steward.py
@@ -10,10 +10,11 @@
 import trio
 
 from wharftiller.core.errors import ExchangeError, PlatformUnavailableError, UnknownPathError
-from wharftiller.core.messages import BoxesListed, ConfigurationArrived, Report, Tick
+from wharftiller.core.messages import ConfigurationArrived, Report, Tick
 from wharftiller.core.steward import StewardCore
 from wharftiller.core.steward_messages import (
     AskReport,
+    BoxesPlaced,
     GiveOrder,
     GroupRecord,
     LeadState,
@@ -128,7 +129,8 @@
         self.feed(ConfigurationArrived(self._spreader.configuration))
 
     def _listed(self) -> None:
-        self.feed(BoxesListed(tuple(entry.name for entry in self._spreader.boxes)))
+        boxes = self._spreader.boxes
+        self.feed(BoxesPlaced({box.name: box.data_centre for box in boxes if not box.leaving}))
 
     def feed(self, message: StewardInput) -> None:
         """Give the core an input and carry out what it asks for."""
--- a/wharftiller/tests/core/test_promotion.py
+++ b/wharftiller/tests/core/test_promotion.py
@@ -5,9 +5,10 @@
 import random
 from typing import Any, TypeVar
 
-from wharftiller.core.messages import BoxesListed, ConfigurationArrived, Report, Role, Tick
+from wharftiller.core.messages import ConfigurationArrived, Report, Role, Tick
 from wharftiller.core.steward import StewardCore
 from wharftiller.core.steward_messages import (
+    BoxesPlaced,
     GiveOrder,
     GroupRecord,
     LeadState,
@@ -35,7 +36,7 @@
         self.now = 100.0
         self.outputs: list[StewardOutput] = []
         self.feed(ConfigurationArrived(CONFIGURATION))
-        self.feed(BoxesListed(("box-1",)))
+        self.feed(BoxesPlaced({"box-1": "hall-1"}))
         self.report("a", role=Role.PRIMARY)
         self.report("b")
         self.report("c")
@@ -112,6 +113,16 @@
             driver.feed(Tick())
         assert driver.of(ReadRecord) == []
 
+    def test_primary_that_was_fenced_and_left_is_replaced(self) -> None:
+        for answering in ("abc", "ab"):
+            driver = Driver()
+            for _ in range(20):
+                driver.now += 0.2
+                for name in answering:
+                    driver.report(name, promised=2, primary_silent_ms=5_000)
+                driver.feed(Tick())
+            assert driver.of(ReadRecord) != []
+
     def test_paused_steward_does_not_suspect_at_once(self) -> None:
         driver = Driver()
         driver.feed(Tick())
--- a/wharftiller/tests/fakes/world.py
+++ b/wharftiller/tests/fakes/world.py
@@ -4,7 +4,7 @@
 
 import itertools
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, TextIO
 
 import attrs
 import trio
@@ -159,7 +159,7 @@
         self.endpoints[name] = endpoint
         await self.nursery.start(serve_endpoint, endpoint, transport, f"{ip}:5000", f"{ip}:5001")
 
-    def _prepare_box(self, name: str, centre: int) -> None:
+    def _prepare_box(self, name: str, centre: int, trace: TextIO | None = None) -> None:
         ip = f"10.2.{len(self.ips)}.1"
         self.ips[name] = ip
         self.centres[ip] = centre
@@ -182,7 +182,7 @@
             name,
             ip,
             settings,
-            ProxyDaemon(settings, transport, seed=seed),
+            ProxyDaemon(settings, transport, seed=seed, trace=trace),
             StewardDaemon(settings, transport, seed=seed, wall_clock=trio.current_time),
         )
 
@@ -312,11 +312,11 @@
         self.boxes[name].scope.cancel()
         self.network.kill(self.ips[name])
 
-    async def replace_box(self, name: str) -> Box:
+    async def replace_box(self, name: str, trace: TextIO | None = None) -> Box:
         """Kill a box and start an empty one in its place."""
         self.kill_box(name)
         old = self.boxes.pop(name)
-        self._prepare_box(name, self.centres[old.ip])
+        self._prepare_box(name, self.centres[old.ip], trace)
         await self._start_box(self.boxes[name])
         self.list_boxes()
         return self.boxes[name]
