Watch a group only from its data centres; probe replicas seldom while the primary leads

Cause: worked out for the size to design for, two watchers in each of 12 data centres and five reports a second of every server would cost a steward many times its budget. Change: only boxes of the data centres that hold a group's endpoints watch it; replicas are asked a fifth as often while the primary says that it leads; a box that starts takes the whole configuration from one peer and only what is newer from the others (before, four sent it whole). Ruled out by measurement: a longer gap.

--- a/wharftiller/core/promotion.py
+++ b/wharftiller/core/promotion.py
@@ -64,7 +64,7 @@
     if not isinstance(group.step, Watching):
         _push_on(tables, group, now)
         return
-    rank = tables.rank_for(group.spec.name)
+    rank = tables.rank_for(group)
     if rank is None or now < group.next_try_at:
         return
     delay = RANK_DELAY_S * min(rank, MOST_RANKS)
--- a/wharftiller/core/steward.py
+++ b/wharftiller/core/steward.py
@@ -33,8 +33,11 @@
 
     from wharftiller.core.configuration import Configuration
 
-PROBE_S = 0.2
-"""Time between two reports of a server, in seconds."""
+PROBE_PART = 0.2
+"""Time between two reports of a primary, as a part of the time to detect its loss."""
+
+REPLICA_PACE = 5
+"""A replica of a primary that leads is asked so many times less often."""
 
 PAUSE_S = 0.6
 """A gap between ticks beyond which this process must have been paused, in seconds."""
@@ -150,7 +153,7 @@
     def _tick(self, now: float) -> None:
         self._notice_pause(now)
         for group in self._tables.groups.values():
-            watched = self._tables.rank_for(group.spec.name) is not None
+            watched = self._tables.rank_for(group) is not None
             under_way = not isinstance(group.step, Watching)
             if watched or under_way:
                 self._watch(group, now)
@@ -158,7 +161,8 @@
     def _watch(self, group: WatchedGroup, now: float) -> None:
         for name in group.names:
             server = self._tables.servers[name]
-            if server.asked_at is None and now - server.last_asked_at >= PROBE_S:
+            probe_s = self._probe_s(group, name, now)
+            if server.asked_at is None and now - server.last_asked_at >= probe_s:
                 server.asked_at = now
                 server.last_asked_at = now
                 self._tables.emit(AskReport(server.name, server.control_address))
@@ -166,6 +170,16 @@
         if isinstance(group.step, Watching):
             promotion.remind_followers(self._tables, group, now)
 
+    def _probe_s(self, group: WatchedGroup, name: str, now: float) -> float:
+        """Return the time between two reports of a server, in seconds.
+
+        While the primary says that it leads, replicas are asked seldom; once it
+        is silent all are asked at the primary's pace.
+        """
+        probe_s = self._tables.detect_s * PROBE_PART
+        led = now - group.led_at <= 2 * probe_s and isinstance(group.step, Watching)
+        return probe_s * REPLICA_PACE if led and name != group.primary else probe_s
+
     def _notice_pause(self, now: float) -> None:
         """After a pause of this process, give every primary a fresh chance to answer."""
         ticked_at = self._tables.ticked_at
--- a/wharftiller/core/watch_tables.py
+++ b/wharftiller/core/watch_tables.py
@@ -157,6 +157,11 @@
         """The group's servers."""
         return tuple(endpoint.name for endpoint in self.spec.endpoints)
 
+    @property
+    def places(self) -> frozenset[str]:
+        """The data centres that hold them."""
+        return frozenset(endpoint.data_centre for endpoint in self.spec.endpoints)
+
 
 @attrs.define
 class WatchTables:
@@ -177,7 +182,7 @@
     boxes: dict[str, str] = attrs.field(factory=dict)
     ticked_at: float | None = None
     outputs: list[StewardOutput] = attrs.field(factory=list)
-    _ranks: dict[int, int | None] = attrs.field(factory=dict)
+    _ranks: dict[tuple[int, frozenset[str]], int | None] = attrs.field(factory=dict)
 
     def place_boxes(self, boxes: dict[str, str]) -> None:
         """Take in a list of boxes."""
@@ -185,12 +190,12 @@
             self.boxes = boxes
             self._ranks.clear()
 
-    def rank_for(self, group: str) -> int | None:
+    def rank_for(self, group: WatchedGroup) -> int | None:
         """Return this steward's rank among the watchers of ``group``; None if it is none."""
-        shard = watch_shard(group)
-        if shard not in self._ranks:
-            self._ranks[shard] = watch_rank(shard, self.boxes, self.box)
-        return self._ranks[shard]
+        key = (watch_shard(group.spec.name), group.places)
+        if key not in self._ranks:
+            self._ranks[key] = watch_rank(key[0], self.boxes, self.box, group.places)
+        return self._ranks[key]
 
     def emit(self, output: StewardOutput) -> None:
         """Ask for something to be done."""
--- a/wharftiller/daemons/spreader.py
+++ b/wharftiller/daemons/spreader.py
@@ -158,6 +158,9 @@
         places.update(self._settings.steward.peers)
         places.discard(self._settings.steward.listen)
         asked = self._random.sample(sorted(places), min(PEERS_ASKED, len(places)))
+        # The first to answer sends everything, the others only what is newer.
+        while asked and not await self._ask(asked.pop(), 0):
+            pass
         async with trio.open_nursery() as nursery:
             for address in asked:
                 nursery.start_soon(self._ask, address, 0)
