--- a/benchmarks/live.py
+++ b/benchmarks/live.py
@@ -9,6 +9,7 @@
 
 import json
 import os
+import statistics
 import sys
 import time
 from collections.abc import Awaitable, Callable
@@ -32,6 +33,7 @@
 IDLE_CONNECTIONS = 2_000
 RUNS = 5
 TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+SLOPES_FILE = Path(__file__).with_name("slopes.json")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 Ask = Callable[[HttpConnection, int], Awaitable[None]]
@@ -205,20 +207,29 @@
     return int((folder / "pids" / name).read_text())
 
 
+def keep(figures: list[Figure]) -> None:
+    """Keep the figures among the slopes of docs/CAPACITY.md."""
+    slopes = json.loads(SLOPES_FILE.read_text()) if SLOPES_FILE.exists() else {}
+    for figure in figures:
+        slopes[f"live: {figure.name}"] = {
+            "median": statistics.median(figure.values),
+            "low": min(figure.values),
+            "high": max(figure.values),
+            "runs": len(figure.values),
+        }
+    SLOPES_FILE.write_text(json.dumps(slopes, indent=1) + "\n")
+
+
 async def main(folder: Path) -> None:
-    """Print every figure."""
+    """Print every figure and keep them."""
     layout = json.loads((folder / "layout.json").read_text())
     proxy = Place(layout["boxes"]["box-1"]["proxy"], _pid(folder, "box-1-proxy"))
-    idle = Figure(
-        "memory per idle caller connection",
-        "bytes",
-        (await idle_connection_bytes(proxy),),
-        "< 8192",
-    )
-    print(f"live: {idle.line()}", flush=True)
-    runs = [await measure(folder) for _ in range(RUNS)]
-    for figure in merged(runs):
+    grown = await idle_connection_bytes(proxy)
+    idle = Figure("memory per idle caller connection", "bytes", (grown,), "< 8192")
+    figures = [idle, *merged([await measure(folder) for _ in range(RUNS)])]
+    for figure in figures:
         print(f"live: {figure.line()}", flush=True)
+    keep(figures)
 
 
 if __name__ == "__main__":
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import json
+import random
 import statistics
 import sys
 import time
@@ -19,7 +20,7 @@
 import orjson
 import trio
 
-from benchmarks.live import Place, _pid
+from benchmarks.live import SLOPES_FILE, Place, _pid
 from wharftiller.core.configuration import Configuration, EndpointSpec, GroupSpec, PoolSpec
 from wharftiller.core.messages import ConfigurationArrived, Report
 from wharftiller.core.spreading import (
@@ -38,7 +39,6 @@
 GROUPS = 4_000
 BUSINESSES_PER_POOL = 50
 BOXES_PER_DATA_CENTRE = 560
-SLOPES_FILE = Path(__file__).with_name("slopes.json")
 
 
 def configuration(groups: int, generation: int = 1) -> Configuration:
@@ -92,8 +92,6 @@
     held, holder = _grown(start)
 
     def watch() -> StewardCore:
-        import random
-
         core = StewardCore("box-1", random.Random(1))
         core.handle(ConfigurationArrived(holder.current), 0.0)
         return core
