Count a list of boxes once; end an attempt when a primary is heard; split large modules

Cause (list): a proxy took its steward's list for a fresh reading of the platform's each time it was told, so a new box became established while the platform was away and could take a full share that the others had not made room for. Found while measuring: with a lag of 8 s the shares came only with the 5 s polls. Change: a list carries its age since a relay read it; the same reading counts once. Cause (promotion): stewards that start together could still promote one after the other: one learned of the new primary while it was reading the record and went on. Seen in the demo's audit trail (terms 1 and 2 within a second); after: an attempt ends when a primary is heard. Ruled out: the lease (it held; the second steward knew of the term by then).

--- /dev/null
+++ b/benchmarks/capacity_scale.py
@@ -0,0 +1,80 @@
+"""The size to design for, and a row of a capacity table."""
+
+from __future__ import annotations
+
+import attrs
+
+SECONDS_PER_DAY = 86_400
+
+
+@attrs.frozen
+class Scale:
+    """The size to design for, and the limits."""
+
+    daemons: int = 6_700
+    databases: int = 16_000
+    connections: int = 63_000_000
+    statements_per_s: float = 5_000_000
+    changes_per_day: float = 13_000
+    restarts_per_day: float = 6_400
+    promotions_per_day: float = 19
+    data_centres: int = 12
+    data_centres_per_group: int = 3
+    servers_per_group: int = 3
+    relays_per_data_centre: int = 3
+    watchers_per_data_centre: int = 2
+    homes_per_data_centre: int = 3
+    control_core_share: float = 0.016
+    control_bytes: float = 128e6
+    control_bytes_per_s: float = 7_000
+    platform_reads_per_s: float = 2_000
+    platform_writes_per_s: float = 400
+    platform_value_bytes: float = 1_048_576
+    change_in_force_s: float = 4.0
+
+    @property
+    def boxes_per_data_centre(self) -> float:
+        """Boxes of one data centre."""
+        return self.daemons / self.data_centres
+
+    @property
+    def changes_per_s(self) -> float:
+        """Configuration changes a second, on average."""
+        return self.changes_per_day / SECONDS_PER_DAY
+
+    @property
+    def relays(self) -> int:
+        """Relays in all."""
+        return self.data_centres * self.relays_per_data_centre
+
+
+@attrs.frozen
+class Row:
+    """One line of a table.
+
+    Attributes
+    ----------
+    limit : float or None
+        What the result may be at most.
+    built : str
+        ``built``, ``partly`` or ``planned``: the mechanism that carries it.
+    """
+
+    what: str
+    arithmetic: str
+    result: float
+    unit: str
+    limit: float | None
+    mechanism: str
+    built: str
+
+    def line(self) -> str:
+        """Return the row as a line of a Markdown table."""
+        if self.limit is None:
+            verdict = "-"
+        else:
+            verdict = f"{self.limit:.4g} " + ("held" if self.result <= self.limit else "**missed**")
+        return (
+            f"| {self.what} | {self.arithmetic} | {self.result:.4g} {self.unit} | {verdict} | "
+            f"{self.mechanism} | {self.built} |"
+        )
--- a/benchmarks/live.py
+++ b/benchmarks/live.py
@@ -21,7 +21,7 @@
 
 from benchmarks.figures import Figure, merged, percentile
 from standins.layout import BUSINESSES, POOL, SECRET
-from wharftiller.edges.http import HttpConnection
+from wharftiller.edges.http_client import HttpConnection
 from wharftiller.edges.transport import TcpTransport
 from wharftiller.keys import KeyRing, bearer_header
 
--- a/benchmarks/load.py
+++ b/benchmarks/load.py
@@ -10,7 +10,7 @@
 
 from benchmarks.model import Mix
 from wharftiller.core.errors import ExchangeError
-from wharftiller.edges.http import HttpClient
+from wharftiller.edges.http_client import HttpClient
 from wharftiller.keys import bearer_header
 from wharftiller.tests.fakes.world import CLIENT, KEYS, POOL, World
 
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -32,7 +32,7 @@
 from wharftiller.core.steward import StewardCore
 from wharftiller.core.watching import WATCH_SHARDS, watch_rank
 from wharftiller.edges.codec import from_peer, to_json
-from wharftiller.edges.http import HttpResponse
+from wharftiller.edges.http_server import HttpResponse
 from wharftiller.tests.fakes.world import Size, World, run_world
 
 RUNS = 5
@@ -190,7 +190,7 @@
         await beyond_steady("platform calls per box start", replace, 10.0)
         await beyond_steady("platform calls per promotion", promote, 10.0)
 
-    run_world(scenario, Size(boxes=9, list_lag_s=20.0))
+    run_world(scenario, Size(boxes=9, list_lag_s=8.0))
     return slopes
 
 
--- a/scripts/story.py
+++ b/scripts/story.py
@@ -14,7 +14,7 @@
 
 from standins.layout import BUSINESSES, OPERATOR, POOL, SECRET
 from wharftiller.core.errors import ExchangeError
-from wharftiller.edges.http import HttpClient
+from wharftiller.edges.http_client import HttpClient
 from wharftiller.edges.transport import TcpTransport
 from wharftiller.keys import KeyRing, bearer_header
 
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -15,7 +15,8 @@
 from wharftiller.core.errors import BadRequestError, ExchangeError
 from wharftiller.core.messages import Action, EndpointAnswer, Verdict
 from wharftiller.edges.codec import from_peer, to_json
-from wharftiller.edges.http import HttpClient, HttpRequest, HttpResponse, serve_stream
+from wharftiller.edges.http_client import HttpClient
+from wharftiller.edges.http_server import HttpRequest, HttpResponse, serve_stream
 from wharftiller.edges.transport import Transport
 
 PULL_WAIT_MS = 100
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -13,7 +13,7 @@
 import trio
 
 from wharftiller.edges.codec import from_peer, to_json
-from wharftiller.edges.http import HttpRequest, HttpResponse, serve_stream
+from wharftiller.edges.http_server import HttpRequest, HttpResponse, serve_stream
 from wharftiller.edges.platform import BoxEntry, StoredObject
 from wharftiller.edges.transport import Transport
 
--- a/wharftiller/cli/calls.py
+++ b/wharftiller/cli/calls.py
@@ -8,7 +8,7 @@
 import trio
 
 from wharftiller.core.errors import ExchangeError
-from wharftiller.edges.http import HttpClient
+from wharftiller.edges.http_client import HttpClient
 from wharftiller.edges.transport import TcpTransport, split_address
 from wharftiller.keys import bearer_header
 
--- /dev/null
+++ b/wharftiller/core/detection.py
@@ -0,0 +1,95 @@
+"""Find a primary that is lost, or one that is to be changed while it is well."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wharftiller.core.watch_tables import Wish
+
+if TYPE_CHECKING:
+    from wharftiller.core.watch_tables import WatchedGroup, WatchTables
+
+MAJORITY = 2
+"""Servers of three that have to agree."""
+
+RECENT_S = 0.5
+"""Age up to which a report says that a server is reached, in seconds."""
+
+TARGET_LAG_RECORDS = 1_000
+"""A planned change waits for its target; it is not begun with one further behind."""
+
+
+def _heard(tables: WatchTables, name: str, now: float) -> bool:
+    server = tables.servers[name]
+    return server.report is not None and now - server.heard_at <= RECENT_S
+
+
+def primary_is_lost(tables: WatchTables, group: WatchedGroup, now: float, delay: float) -> bool:
+    """Return whether no server leads ``group`` any more, or none that the others can hear.
+
+    Parameters
+    ----------
+    delay : float
+        Time by which this steward holds back so that another acts first, in seconds.
+    """
+    silent_s = now - group.led_at
+    leads = group.primary if silent_s <= RECENT_S else None
+    heard = [name for name in group.names if name != leads and _heard(tables, name, now)]
+    if len(heard) < MAJORITY:
+        return False
+    cut_off = [name for name in heard if _lost_its_primary(tables, name)]
+    if len(cut_off) == len(heard):
+        return silent_s >= tables.detect_s + delay or _all_cut_off(tables, group, heard, delay)
+    return silent_s >= 3 * tables.detect_s + delay
+
+
+def _lost_its_primary(tables: WatchTables, name: str) -> bool:
+    report = tables.servers[name].report
+    return report is not None and report.primary_silent_ms >= tables.detect_s * 500
+
+
+def _all_cut_off(tables: WatchTables, group: WatchedGroup, heard: list[str], delay: float) -> bool:
+    """Return whether no replica hears the primary any more, though this box may."""
+    if group.primary is None:
+        return False
+    longest = (2 * tables.detect_s + delay) * 1000
+    reports = [tables.servers[name].report for name in heard]
+    return all(
+        report is not None
+        and report.settled
+        and report.log_term == group.term
+        and report.primary_silent_ms >= longest
+        for report in reports
+    )
+
+
+def wanted_change(tables: WatchTables, group: WatchedGroup) -> Wish | None:
+    """Return the change of primary that an operator or a leaving endpoint asks for."""
+    primary = tables.server(group.primary)
+    if primary is None or primary.report is None:
+        return None
+    wanted = group.spec.wanted_primary
+    if wanted is not None and wanted.plan not in group.done_plans:
+        if wanted.endpoint == group.primary:
+            group.done_plans.add(wanted.plan)
+        elif _may_lead(tables, group, wanted.endpoint):
+            return Wish(wanted.endpoint, wanted.plan)
+    if primary.leaving or primary.report.leaving:
+        targets = [name for name in group.names if _may_lead(tables, group, name)]
+        if targets:
+            return Wish(max(targets, key=lambda name: _position(tables, name)), "")
+    return None
+
+
+def _position(tables: WatchTables, name: str) -> int:
+    report = tables.servers[name].report
+    return report.position if report else 0
+
+
+def _may_lead(tables: WatchTables, group: WatchedGroup, name: str) -> bool:
+    server = tables.servers[name]
+    report = server.report
+    if name == group.primary or server.leaving or report is None or report.leaving:
+        return False
+    close = _position(tables, group.primary or "") - report.position <= TARGET_LAG_RECORDS
+    return report.settled and report.log_term == group.term and close
--- a/wharftiller/core/messages.py
+++ b/wharftiller/core/messages.py
@@ -245,9 +245,10 @@
 
 @attrs.frozen
 class BoxesListed:
-    """The platform's lagging list of boxes, as this box sees it."""
+    """The platform's lagging list of boxes, read from it at ``read_at`` (seconds)."""
 
     names: tuple[str, ...]
+    read_at: float
 
 
 @attrs.frozen
--- a/wharftiller/core/promotion.py
+++ b/wharftiller/core/promotion.py
@@ -10,6 +10,7 @@
 
 import attrs
 
+from wharftiller.core.detection import MAJORITY, primary_is_lost, wanted_change
 from wharftiller.core.messages import Role
 from wharftiller.core.steward_messages import (
     GiveOrder,
@@ -51,12 +52,9 @@
 LEASE_S = 1.0
 """How long a term just taken by another steward is left to it, in seconds."""
 
-RECENT_S = 0.5
 SECOND_REPLICA_WAIT_S = 0.1
-TARGET_LAG_RECORDS = 1_000
 QUIESCE_HOLD_MS = 2_000
 ORDER_AGAIN_S = 0.1
-MAJORITY = 2
 
 
 def consider(tables: WatchTables, group: WatchedGroup, now: float) -> None:
@@ -68,10 +66,10 @@
     if rank is None or now < group.next_try_at:
         return
     delay = RANK_DELAY_S * min(rank, MOST_RANKS)
-    if _primary_is_lost(tables, group, now, delay):
+    if primary_is_lost(tables, group, now, delay):
         _start(tables, group, None, now)
         return
-    wish = _wish(tables, group)
+    wish = wanted_change(tables, group)
     if wish is None:
         group.wished_at = None
     elif group.wished_at is None:
@@ -80,74 +78,6 @@
         _start(tables, group, wish, now)
 
 
-def _heard(tables: WatchTables, name: str, now: float) -> bool:
-    server = tables.servers[name]
-    return server.report is not None and now - server.heard_at <= RECENT_S
-
-
-def _primary_is_lost(tables: WatchTables, group: WatchedGroup, now: float, delay: float) -> bool:
-    silent_s = now - group.led_at
-    leads = group.primary if silent_s <= RECENT_S else None
-    heard = [name for name in group.names if name != leads and _heard(tables, name, now)]
-    if len(heard) < MAJORITY:
-        return False
-    cut_off = [name for name in heard if _lost_its_primary(tables, name)]
-    if len(cut_off) == len(heard):
-        return silent_s >= tables.detect_s + delay or _all_cut_off(tables, group, heard, delay)
-    return silent_s >= 3 * tables.detect_s + delay
-
-
-def _lost_its_primary(tables: WatchTables, name: str) -> bool:
-    report = tables.servers[name].report
-    return report is not None and report.primary_silent_ms >= tables.detect_s * 500
-
-
-def _all_cut_off(tables: WatchTables, group: WatchedGroup, heard: list[str], delay: float) -> bool:
-    """Return whether no replica hears the primary any more, though this box may."""
-    if group.primary is None:
-        return False
-    longest = (2 * tables.detect_s + delay) * 1000
-    reports = [tables.servers[name].report for name in heard]
-    return all(
-        report is not None
-        and report.settled
-        and report.log_term == group.term
-        and report.primary_silent_ms >= longest
-        for report in reports
-    )
-
-
-def _wish(tables: WatchTables, group: WatchedGroup) -> Wish | None:
-    primary = tables.server(group.primary)
-    if primary is None or primary.report is None:
-        return None
-    wanted = group.spec.wanted_primary
-    if wanted is not None and wanted.plan not in group.done_plans:
-        if wanted.endpoint == group.primary:
-            group.done_plans.add(wanted.plan)
-        elif _may_lead(tables, group, wanted.endpoint):
-            return Wish(wanted.endpoint, wanted.plan)
-    if primary.leaving or primary.report.leaving:
-        targets = [name for name in group.names if _may_lead(tables, group, name)]
-        if targets:
-            return Wish(max(targets, key=lambda name: _position(tables, name)), "")
-    return None
-
-
-def _position(tables: WatchTables, name: str) -> int:
-    report = tables.servers[name].report
-    return report.position if report else 0
-
-
-def _may_lead(tables: WatchTables, group: WatchedGroup, name: str) -> bool:
-    server = tables.servers[name]
-    report = server.report
-    if name == group.primary or server.leaving or report is None or report.leaving:
-        return False
-    close = _position(tables, group.primary or "") - report.position <= TARGET_LAG_RECORDS
-    return report.settled and report.log_term == group.term and close
-
-
 def _start(tables: WatchTables, group: WatchedGroup, wish: Wish | None, now: float) -> None:
     group.wish = wish
     group.started_at = now
@@ -182,6 +112,8 @@
     """Go on with the group's record, unless another steward is at work."""
     if not isinstance(group.step, Reading):
         return
+    if _found_again(tables, group, now):
+        return
     seen_version, seen_at = group.record_seen
     if read.version != seen_version:
         seen_at = now
@@ -199,6 +131,14 @@
     _take_term(tables, group, now)
 
 
+def _found_again(tables: WatchTables, group: WatchedGroup, now: float) -> bool:
+    """Give the attempt up if a primary has been heard since it began."""
+    if group.wish is not None or primary_is_lost(tables, group, now, 0.0):
+        return False
+    abandon(tables, group, 0.0, now, f"{group.primary} leads term {group.term}")
+    return True
+
+
 def _another_is_at_work(tables: WatchTables, group: WatchedGroup, record: GroupRecord) -> bool:
     """Return whether another steward takes a term, or has just led one this box knows not of."""
     if record.owner == tables.box:
@@ -227,6 +167,8 @@
         case TakingTerm(term):
             group.version = version
             group.record_seen = (version, now)
+            if _found_again(tables, group, now):
+                return
             if group.wish is None:
                 _fence(tables, group, term, now)
             else:
@@ -252,7 +194,7 @@
     if now - group.started_at > longest:
         abandon(tables, group, tables.detect_s / 2, now, f"{longest} s have passed")
         return
-    if group.wish is not None and _primary_is_lost(tables, group, now, 0.0):
+    if group.wish is not None and primary_is_lost(tables, group, now, 0.0):
         abandon(tables, group, 0.0, now, "the primary was lost meanwhile")
         return
     match group.step:
--- a/wharftiller/core/proxy.py
+++ b/wharftiller/core/proxy.py
@@ -88,8 +88,8 @@
                 self._report_lost(message, now)
             case ConfigurationArrived(configuration):
                 membership.apply_configuration(tables, configuration, now)
-            case BoxesListed(names):
-                apply_listing(tables, names, now)
+            case BoxesListed(names, read_at):
+                apply_listing(tables, names, read_at)
             case PrimaryNoticed(name, term, endpoint):
                 self._noticed(name, term, endpoint, now)
             case StopAsked():
--- a/wharftiller/core/shares.py
+++ b/wharftiller/core/shares.py
@@ -40,15 +40,20 @@
     return tables.listed_at - tables.listed_since >= 2 * tables.list_lag_s
 
 
-def apply_listing(tables: Tables, names: tuple[str, ...], now: float) -> None:
-    """Take in the platform's list of boxes as read at ``now`` (seconds)."""
-    tables.listed_at = now
+def apply_listing(tables: Tables, names: tuple[str, ...], read_at: float) -> None:
+    """Take in the platform's list of boxes as read from it at ``read_at`` (seconds).
+
+    A list that is told again, because the platform is away, counts once.
+    """
+    if read_at <= tables.listed_at:
+        return
+    tables.listed_at = read_at
     for name in names:
-        tables.boxes_seen[name] = now
+        tables.boxes_seen[name] = read_at
     for name, seen in list(tables.boxes_seen.items()):
-        if now - seen > tables.list_lag_s:
+        if read_at - seen > tables.list_lag_s:
             del tables.boxes_seen[name]
     if tables.box not in names:
         tables.listed_since = None
     elif tables.listed_since is None:
-        tables.listed_since = now
+        tables.listed_since = read_at
--- a/wharftiller/core/tables.py
+++ b/wharftiller/core/tables.py
@@ -260,7 +260,7 @@
     deadlines: list[tuple[float, int]] = attrs.field(factory=list)
     boxes_seen: dict[str, float] = attrs.field(factory=dict)
     listed_since: float | None = None
-    listed_at: float = 0.0
+    listed_at: float = -math.inf
     list_lag_s: float = 30.0
     retry_tokens: float = 10.0
     stopping: bool = False
--- a/wharftiller/daemons/admin.py
+++ b/wharftiller/daemons/admin.py
@@ -30,7 +30,7 @@
 )
 from wharftiller.edges.codec import from_caller, from_peer, to_json
 from wharftiller.edges.configuration_store import ConfigurationStore, StoredConfiguration
-from wharftiller.edges.http import HttpRequest, HttpResponse, serve_stream
+from wharftiller.edges.http_server import HttpRequest, HttpResponse, serve_stream
 from wharftiller.edges.platform import ConflictError, PlatformClient, StoredObject
 from wharftiller.edges.transport import Transport
 from wharftiller.keys import bearer
--- a/wharftiller/daemons/proxy.py
+++ b/wharftiller/daemons/proxy.py
@@ -32,7 +32,7 @@
 from wharftiller.edges.callers import answer_statement
 from wharftiller.edges.codec import from_caller, to_json
 from wharftiller.edges.endpoints import ReportLanes, StatementConnections
-from wharftiller.edges.http import HttpRequest, HttpResponse, serve_stream
+from wharftiller.edges.http_server import HttpRequest, HttpResponse, serve_stream
 from wharftiller.edges.peers import (
     ConfigurationQuestion,
     PeerClient,
@@ -48,7 +48,7 @@
 
 TICK_S = 0.01
 PUBLISH_S = 1.0
-FOLLOW_WAIT_MS = 5_000
+FOLLOW_WAIT_MS = 1_000
 FOLLOW_AGAIN_S = 0.2
 EXPLAIN_MATCHES = 16
 
@@ -212,8 +212,9 @@
         if reply.change is not None and self._holder.take_change(reply.change):
             self._log.info(f"generation {self._holder.current.generation} is in force")
             self.feed(ConfigurationArrived(self._holder.current))
-        if reply.listed:
-            self.feed(BoxesListed(tuple(entry.name for entry in reply.boxes)))
+        if reply.list_age_s is not None:
+            names = tuple(entry.name for entry in reply.boxes)
+            self.feed(BoxesListed(names, trio.current_time() - reply.list_age_s))
         return True
 
     # Served -------------------------------------------------------------
--- a/wharftiller/daemons/spreader.py
+++ b/wharftiller/daemons/spreader.py
@@ -13,7 +13,7 @@
 from wharftiller.core.spreading import ConfigurationHolder, relays
 from wharftiller.edges.codec import from_caller
 from wharftiller.edges.configuration_store import HEAD_KEY, ConfigurationStore
-from wharftiller.edges.http import HttpRequest, HttpResponse
+from wharftiller.edges.http_server import HttpRequest, HttpResponse
 from wharftiller.edges.peers import (
     ConfigurationQuestion,
     ConfigurationReply,
@@ -69,7 +69,7 @@
         self._holder = ConfigurationHolder()
         self._head_version = 0
         self._boxes: list[BoxEntry] = []
-        self._listed = False
+        self._list_read_at: float | None = None
         self._changed = trio.Event()
         self._in_force: dict[str, int] = {}
         self._status_written: dict[str, int] = {}
@@ -176,8 +176,8 @@
             return False
         if answer.change is not None:
             self._take(self._holder.take_change(answer.change))
-        if answer.listed:
-            self._take_boxes(answer.boxes)
+        if answer.list_age_s is not None:
+            self._take_boxes(answer.boxes, trio.current_time() - answer.list_age_s)
         return True
 
     def _take(self, newer: bool) -> None:
@@ -190,10 +190,14 @@
         self._changed.set()
         self._changed = trio.Event()
 
-    def _take_boxes(self, boxes: list[BoxEntry]) -> None:
-        if boxes != self._boxes or not self._listed:
+    def _take_boxes(self, boxes: list[BoxEntry], read_at: float) -> None:
+        """Take in a list that was read from the platform at ``read_at``."""
+        if self._list_read_at is not None and read_at <= self._list_read_at:
+            return
+        first = self._list_read_at is None
+        self._list_read_at = read_at
+        if first or boxes != self._boxes:
             self._boxes = boxes
-            self._listed = True
             self._on_listed()
             self._wake()
 
@@ -202,11 +206,12 @@
         every_s = self._settings.platform.list_lag_s / 4
         while True:
             if self.is_relay:
+                asked_at = trio.current_time()
                 try:
-                    self._take_boxes(await self._platform.boxes())
+                    self._take_boxes(await self._platform.boxes(), asked_at)
                 except PlatformUnavailableError:
                     self._count("list.failed")
-            await trio.sleep(min(every_s, 5.0) if self._listed else AGAIN_S)
+            await trio.sleep(min(every_s, 5.0) if self._list_read_at is not None else AGAIN_S)
 
     # Passing on ---------------------------------------------------------
 
@@ -227,7 +232,11 @@
                 await self._changed.wait()
         newer = question.generation < self.generation
         change = self._holder.change_since(question.generation) if newer else None
-        return reply(ConfigurationReply(change, self._boxes, self._listed))
+        return reply(ConfigurationReply(change, self._boxes, self._list_age_s()))
+
+    def _list_age_s(self) -> float | None:
+        read_at = self._list_read_at
+        return None if read_at is None else trio.current_time() - read_at
 
     async def _status_for_ever(self) -> None:
         """Write the data centre's summed status, when it has changed, from relays only."""
--- a/wharftiller/daemons/steward.py
+++ b/wharftiller/daemons/steward.py
@@ -35,7 +35,8 @@
 )
 from wharftiller.daemons.spreader import Spreader
 from wharftiller.edges.codec import from_peer, to_json
-from wharftiller.edges.http import HttpClient, HttpRequest, HttpResponse, serve_stream
+from wharftiller.edges.http_client import HttpClient
+from wharftiller.edges.http_server import HttpRequest, HttpResponse, serve_stream
 from wharftiller.edges.peers import PeerClient, PrimaryNotice
 from wharftiller.edges.platform import ConflictError, PlatformClient, new_attempt
 from wharftiller.edges.transport import Transport
--- a/wharftiller/edges/callers.py
+++ b/wharftiller/edges/callers.py
@@ -12,7 +12,7 @@
 from wharftiller.core.messages import Action, Answer, Outcome, Request
 from wharftiller.core.positions import Session
 from wharftiller.edges.codec import from_caller
-from wharftiller.edges.http import HttpRequest, HttpResponse
+from wharftiller.edges.http_server import HttpRequest, HttpResponse
 from wharftiller.keys import KeyRing, bearer
 
 MAX_ID_LENGTH = 128
--- a/wharftiller/edges/endpoints.py
+++ b/wharftiller/edges/endpoints.py
@@ -26,7 +26,7 @@
 )
 from wharftiller.core.reports import REPORT_TIMEOUT_S
 from wharftiller.edges.codec import from_peer
-from wharftiller.edges.http import HttpClient, HttpConnection
+from wharftiller.edges.http_client import HttpClient, HttpConnection
 from wharftiller.edges.transport import Transport
 
 CONNECT_TIMEOUT_S = 1.0
--- /dev/null
+++ b/wharftiller/edges/http_client.py
@@ -0,0 +1,166 @@
+"""HTTP/1.1 requests with JSON over kept connections."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+import httptools
+import orjson
+import trio
+
+from wharftiller.core.errors import ExchangeError
+from wharftiller.edges.http_server import READ_BYTES
+from wharftiller.edges.transport import Transport, close_now
+
+
+class _ResponseCollector:
+    """Gathers one response from the parser's callbacks."""
+
+    def __init__(self) -> None:
+        self.complete = False
+        self.close = False
+        self.body: list[bytes] = []
+        self.headers: dict[str, str] = {}
+        self.extra = False
+
+    def on_message_begin(self) -> None:
+        self.extra = self.complete
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_body(self, body: bytes) -> None:
+        self.body.append(body)
+
+    def on_message_complete(self) -> None:
+        self.complete = True
+
+
+@attrs.define
+class HttpAnswer:
+    """A response as a client sees it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the body's JSON.
+
+        Raises
+        ------
+        ExchangeError
+            If it is not JSON.
+        """
+        try:
+            return orjson.loads(self.body)
+        except orjson.JSONDecodeError as error:
+            raise ExchangeError(f"the answer is not JSON: {error}. Check the peer") from None
+
+
+class HttpConnection:
+    """A client connection that carries one request at a time."""
+
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self._stream = stream
+
+    async def request(
+        self, method: str, path: str, body: Any = None, headers: dict[str, str] | None = None
+    ) -> HttpAnswer:
+        """Send a request and return its answer.
+
+        Raises
+        ------
+        ExchangeError
+            If the connection breaks or the answer is not HTTP; the connection
+            cannot be used again.
+        """
+        try:
+            await self._stream.send_all(_encode_request(method, path, body, headers or {}))
+            return await self._read_answer()
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ExchangeError(f"the connection broke during {method} {path}") from error
+
+    async def _read_answer(self) -> HttpAnswer:
+        collector = _ResponseCollector()
+        parser = httptools.HttpResponseParser(collector)
+        while not collector.complete:
+            data = await self._stream.receive_some(READ_BYTES)
+            if not data:
+                raise ExchangeError("the peer closed the connection before answering")
+            try:
+                parser.feed_data(data)
+            except httptools.HttpParserError as error:
+                raise ExchangeError(f"the answer is not HTTP/1.1: {error}") from None
+        if collector.extra:
+            raise ExchangeError("the peer sent more than one answer to a request")
+        return HttpAnswer(parser.get_status_code(), collector.headers, b"".join(collector.body))
+
+    async def aclose(self) -> None:
+        """Close at once."""
+        await close_now(self._stream)
+
+
+def _encode_request(method: str, path: str, body: Any, headers: dict[str, str]) -> bytes:
+    payload = b"" if body is None else body if isinstance(body, bytes) else orjson.dumps(body)
+    head = f"{method} {path} HTTP/1.1\r\nhost: wharftiller\r\ncontent-length: {len(payload)}\r\n"
+    for name, value in headers.items():
+        head += f"{name}: {value}\r\n"
+    return head.encode() + b"\r\n" + payload
+
+
+class HttpClient:
+    """Requests to one address over a kept connection, opened anew when it breaks."""
+
+    def __init__(self, transport: Transport, address: str) -> None:
+        self._transport = transport
+        self._address = address
+        self._connection: HttpConnection | None = None
+        self._lock = trio.Lock()
+
+    @property
+    def address(self) -> str:
+        """Where requests go."""
+        return self._address
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        headers: dict[str, str] | None = None,
+        *,
+        timeout_s: float,
+    ) -> HttpAnswer:
+        """Send a request within ``timeout_s`` seconds.
+
+        Raises
+        ------
+        ExchangeError
+            If no answer came; the request may or may not have taken effect.
+        """
+        with trio.move_on_after(timeout_s):
+            async with self._lock:
+                return await self._exchange(method, path, body, headers)
+        raise ExchangeError(f"{self._address} did not answer within {timeout_s} s")
+
+    async def _exchange(
+        self, method: str, path: str, body: Any, headers: dict[str, str] | None
+    ) -> HttpAnswer:
+        whole = False
+        try:
+            if self._connection is None:
+                self._connection = HttpConnection(await self._transport.connect(self._address))
+            answer = await self._connection.request(method, path, body, headers)
+            whole = answer.headers.get("connection") != "close"
+            return answer
+        finally:
+            if not whole:
+                await self.aclose()
+
+    async def aclose(self) -> None:
+        """Drop the kept connection."""
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            await connection.aclose()
--- a/wharftiller/edges/peers.py
+++ b/wharftiller/edges/peers.py
@@ -6,7 +6,8 @@
 
 from wharftiller.core.spreading import ConfigurationChange
 from wharftiller.edges.codec import from_peer, to_json
-from wharftiller.edges.http import HttpClient, HttpRequest, HttpResponse
+from wharftiller.edges.http_client import HttpClient
+from wharftiller.edges.http_server import HttpRequest, HttpResponse
 from wharftiller.edges.platform import BoxEntry
 from wharftiller.edges.transport import Transport
 from wharftiller.keys import KeyRing, bearer, bearer_header
@@ -47,13 +48,13 @@
         None when the asker is up to date.
     boxes : list of BoxEntry
         The platform's list as the steward knows it.
-    listed : bool
-        Whether that list was ever read from the platform.
+    list_age_s : float or None
+        Time since a relay read it from the platform, in seconds; None if never.
     """
 
     change: ConfigurationChange | None = None
     boxes: list[BoxEntry] = attrs.field(factory=list)
-    listed: bool = False
+    list_age_s: float | None = None
 
 
 @attrs.frozen
--- a/wharftiller/edges/platform.py
+++ b/wharftiller/edges/platform.py
@@ -11,7 +11,7 @@
 
 from wharftiller.core.errors import ExchangeError, PlatformUnavailableError, WharfError
 from wharftiller.edges.codec import from_peer
-from wharftiller.edges.http import HttpAnswer, HttpClient
+from wharftiller.edges.http_client import HttpAnswer, HttpClient
 from wharftiller.edges.transport import Transport
 
 CALL_TIMEOUT_S = 1.0
--- a/wharftiller/tests/core/driver.py
+++ b/wharftiller/tests/core/driver.py
@@ -58,7 +58,7 @@
         self.feed(ConfigurationArrived(CONFIGURATION))
         for _ in range(4):
             self.now += 1
-            self.feed(BoxesListed(("box-1", "box-2")))
+            self.feed(BoxesListed(("box-1", "box-2"), self.now))
         self.report("a", role=Role.PRIMARY)
         self.report("b")
         self.report("c")
--- a/wharftiller/tests/core/test_promotion.py
+++ b/wharftiller/tests/core/test_promotion.py
@@ -171,6 +171,13 @@
         driver.feed(RecordRead("g", 8, GroupRecord(2, "box-2", LeadState.LED, "b")))
         assert driver.of(UpdateRecord) == []
 
+    def test_primary_heard_while_the_record_is_read_is_left(self) -> None:
+        driver = Driver()
+        driver.lose_primary()
+        driver.report("b", term=2, role=Role.PRIMARY)
+        driver.feed(RecordRead("g", 8, GroupRecord(2, "box-2", LeadState.LED, "b")))
+        assert driver.of(UpdateRecord) == []
+
     def test_server_that_promised_a_later_term_ends_the_attempt(self) -> None:
         driver = Driver()
         driver.lose_primary()
--- a/wharftiller/tests/core/test_shares.py
+++ b/wharftiller/tests/core/test_shares.py
@@ -76,9 +76,16 @@
         apply_listing(tables, ("a", "b"), 20.0)
         assert connection_share(tables, LIMIT) == (LIMIT - NEWCOMER_CONNECTIONS) // 2
 
+    def test_list_told_again_makes_no_newcomer_established(self) -> None:
+        tables = Tables("a", random.Random(1), list_lag_s=LAG_S)
+        for _ in range(100):
+            apply_listing(tables, ("a", "b"), 5.0)
+        assert connection_share(tables, LIMIT) == 1
+
     def test_list_that_cannot_be_read_changes_nothing(self) -> None:
         tables = Tables("a", random.Random(1), list_lag_s=LAG_S)
         for now in range(0, 31):
             apply_listing(tables, ("a", "b", "c"), float(now))
         share = connection_share(tables, LIMIT)
+        apply_listing(tables, ("a",), 20.0)
         assert connection_share(tables, LIMIT) == share
--- a/wharftiller/tests/edges/test_bad_input.py
+++ b/wharftiller/tests/edges/test_bad_input.py
@@ -8,7 +8,7 @@
 import pytest
 import trio
 
-from wharftiller.edges.http import MAX_BODY_BYTES
+from wharftiller.edges.http_server import MAX_BODY_BYTES
 from wharftiller.keys import bearer_header
 from wharftiller.tests.fakes.world import CLIENT, KEYS, POOL, World, run_world
 
--- a/wharftiller/tests/fakes/world.py
+++ b/wharftiller/tests/fakes/world.py
@@ -16,7 +16,7 @@
 from wharftiller.daemons.admin import AdminDaemon
 from wharftiller.daemons.proxy import ProxyDaemon
 from wharftiller.daemons.steward import StewardDaemon
-from wharftiller.edges.http import HttpClient
+from wharftiller.edges.http_client import HttpClient
 from wharftiller.edges.platform import BoxEntry
 from wharftiller.keys import KeyRing, bearer_header
 from wharftiller.settings import (
--- a/wharftiller/tests/test_capacity.py
+++ b/wharftiller/tests/test_capacity.py
@@ -6,15 +6,9 @@
 
 import pytest
 
-from benchmarks.capacity import (
-    Row,
-    Scale,
-    filled,
-    platform_rows,
-    proxy_rows,
-    relay_rows,
-    steward_rows,
-)
+from benchmarks.capacity import filled
+from benchmarks.capacity_rows import platform_rows, proxy_rows, relay_rows, steward_rows
+from benchmarks.capacity_scale import Row, Scale
 
 ONES: dict[str, float] = defaultdict(lambda: 1.0)
 SMALL = Scale(daemons=100, databases=1_000, connections=5_000, statements_per_s=2_000)
