--- a/wharftiller/tests/scenarios/runner.py
+++ b/wharftiller/tests/scenarios/runner.py
@@ -124,8 +124,8 @@
         self._done[step.name].set()
 
     async def _load_one(self, step: Load, kind: str, box: str, number: int) -> None:
-        businesses = self._world.size.businesses
         options = dict(step.options)
+        businesses = (options.pop("by"),) if "by" in options else self._world.size.businesses
         if kind == "book":
             options.pop("max_age_ms", None)
         fields = _statement(kind, options, f"{step.name}-{number}")
--- a/wharftiller/tests/scenarios/steps.py
+++ b/wharftiller/tests/scenarios/steps.py
@@ -172,6 +172,7 @@
     "session_of": lambda parts: ("session_of", str(parts[0])),
     "in_transaction": lambda parts: ("in_transaction", str(parts[0])),
     "below": lambda parts: ("below", int(parts[0])),
+    "by": lambda parts: ("by", str(parts[0])),
 }
 _TARGETS = {"primary", "replica", "all_boxes", "hall", "everything_else", "named"}
 _OPERATIONS: dict[str, Callable[[list[Any]], Operate]] = {
