--- a/wharftiller/core/promotion.py
+++ b/wharftiller/core/promotion.py
@@ -133,7 +133,8 @@
 
 def _found_again(tables: WatchTables, group: WatchedGroup, now: float) -> bool:
     """Give the attempt up if a primary has been heard since it began."""
-    if group.wish is not None or primary_is_lost(tables, group, now, 0.0):
+    heard = group.led_at >= group.started_at
+    if group.wish is not None or not heard or primary_is_lost(tables, group, now, 0.0):
         return False
     abandon(tables, group, 0.0, now, f"{group.primary} leads term {group.term}")
     return True
