Refuse names that keys cannot tell apart; reopen kept connections; find dead callers

The key of a business joins pool and business with a slash, so pool a/b with business c and pool a with business b/c had one key. A kept connection that the other side had closed failed the next call to the platform. A caller that vanished kept its connection for good. Change: names are checked at planning; GET and PUT are sent again on a new connection; accepted connections have TCP keepalive. Conclusion: tests for the first two (first seen failing: the read ended unavailable); the third is the kernel's and is not tested.

--- a/wharftiller/core/configuration.py
+++ b/wharftiller/core/configuration.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
+import re
+from collections.abc import Iterator
+
 import attrs
 
+NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+
 
 @attrs.frozen
 class EndpointSpec:
@@ -147,7 +152,7 @@
 
 def configuration_faults(configuration: Configuration) -> list[str]:
     """Return one sentence per broken rule, each naming the remedy."""
-    faults: list[str] = []
+    faults = list(_name_faults(configuration))
     for group in configuration.groups.values():
         faults.extend(_group_faults(group))
     for pool in configuration.pools.values():
@@ -155,6 +160,21 @@
     return faults
 
 
+def _name_faults(configuration: Configuration) -> Iterator[str]:
+    """Keys of businesses join names with a slash, so no name may hold one."""
+    names = [*configuration.groups, *configuration.pools]
+    for group in configuration.groups.values():
+        names.extend(endpoint.name for endpoint in group.endpoints)
+    for pool in configuration.pools.values():
+        names.extend(pool.businesses)
+    for name in names:
+        if not NAME_PATTERN.fullmatch(name):
+            yield (
+                f"{name!r} is no name; use up to 64 letters, digits, dots, hyphens and "
+                "underscores, beginning with a letter or digit."
+            )
+
+
 def _group_faults(group: GroupSpec) -> list[str]:
     faults = []
     names = [endpoint.name for endpoint in group.endpoints]
--- a/wharftiller/edges/http_client.py
+++ b/wharftiller/edges/http_client.py
@@ -13,6 +13,9 @@
 from wharftiller.edges.http_server import READ_BYTES
 from wharftiller.edges.transport import Transport, close_now
 
+SENT_AGAIN = ("GET", "PUT")
+"""Methods that are sent again when a kept connection turns out to be closed."""
+
 
 class _ResponseCollector:
     """Gathers one response from the parser's callbacks."""
@@ -142,6 +145,12 @@
         """
         with trio.move_on_after(timeout_s):
             async with self._lock:
+                kept = self._connection is not None
+                try:
+                    return await self._exchange(method, path, body, headers)
+                except ExchangeError:
+                    if not kept or method not in SENT_AGAIN:
+                        raise
                 return await self._exchange(method, path, body, headers)
         raise ExchangeError(f"{self._address} did not answer within {timeout_s} s")
 
--- a/wharftiller/edges/transport.py
+++ b/wharftiller/edges/transport.py
@@ -14,6 +14,7 @@
 Handler = Callable[[trio.abc.Stream], Awaitable[None]]
 
 BACKLOG = 1024
+KEEPALIVE_IDLE_S = 120
 
 
 class Transport(Protocol):
@@ -85,12 +86,19 @@
         task_status.started(f"{bound[0]}:{bound[1]}")
 
         async def guarded(stream: trio.SocketStream) -> None:
+            _find_dead_peers(stream)
             async with stream:
                 await handler(stream)
 
         await trio.serve_listeners(guarded, listeners)
 
 
+def _find_dead_peers(stream: trio.SocketStream) -> None:
+    """Have the kernel close a connection whose other side has vanished."""
+    stream.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_KEEPALIVE, 1)
+    stream.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+
+
 async def close_now(stream: trio.abc.AsyncResource) -> None:
     """Close ``stream`` without waiting for the other side."""
     await trio.aclose_forcefully(stream)
--- a/wharftiller/tests/core/test_intents.py
+++ b/wharftiller/tests/core/test_intents.py
@@ -66,6 +66,12 @@
         assert len(faults) == 3
         assert "exactly three" in faults[0]
 
+    @pytest.mark.parametrize("name", ["a/b", "", "x" * 65, "name with spaces"])
+    def test_name_that_keys_cannot_tell_apart_is_refused(self, name: str) -> None:
+        pool = PoolSpec("q", ("g",), {name: "g"})
+        wanted = apply_intent(START, CreatePool(pool), "plan")
+        assert "is no name" in configuration_faults(wanted)[0]
+
     def test_two_drained_endpoints_are_refused(self) -> None:
         once = apply_intent(START, DrainEndpoint("g", "g-b"), "plan")
         twice = apply_intent(once, DrainEndpoint("g", "g-a"), "plan")
--- a/wharftiller/tests/edges/test_platform.py
+++ b/wharftiller/tests/edges/test_platform.py
@@ -34,6 +34,20 @@
 
         with_platform(scenario)
 
+    def test_kept_connection_that_was_closed_is_opened_anew(self) -> None:
+        async def scenario(platform: Platform, client: PlatformClient) -> None:
+            await client.update("k", 1, 0)
+            platform.faults.outage = True
+            with pytest.raises(PlatformUnavailableError):
+                await client.read("k")
+            platform.faults.outage = False
+            network = client._client._transport.network  # type: ignore[attr-defined]
+            await client.read("k")
+            network.break_streams("1.1.1.1")
+            assert (await client.read("k")).value == 1  # type: ignore[union-attr]
+
+        with_platform(scenario)
+
     def test_overtaken_update_is_a_conflict(self) -> None:
         async def scenario(platform: Platform, client: PlatformClient) -> None:
             await client.update("k", 1, 0)
