--- a/wharftiller/core/answers.py
+++ b/wharftiller/core/answers.py
@@ -6,6 +6,7 @@
 
 from wharftiller.core.covering import answer_position
 from wharftiller.core.messages import Answer, AnswerCaller, Outcome, Request, Role
+from wharftiller.core.positions import LogPosition
 from wharftiller.core.reasons import Decision, Reason, ReasonKind
 
 if TYPE_CHECKING:
@@ -77,7 +78,7 @@
     by_primary = report.role is Role.PRIMARY
     position = None if provisional else answer_position(answer)
     kind = ReasonKind.COVERED if row.is_booking else ReasonKind.CONFIRMED
-    detail = f"{report.endpoint} at ({report.log_term}, {answer.position})"
+    detail = f"{report.endpoint} at {LogPosition(report.log_term, answer.position)}"
     reason = row.note(kind, detail, report.endpoint)
     session = row.request.session
     if position is not None:
--- a/wharftiller/core/dispatch.py
+++ b/wharftiller/core/dispatch.py
@@ -14,8 +14,6 @@
 from wharftiller.core.tables import ConnectionRow, ConnectionState, Phase
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from wharftiller.core.tables import GroupRow, RequestRow, ServerRow, Tables
 
 MINIMUM_SEND_MS = 1
@@ -31,7 +29,7 @@
     line = group.queue.lines[Line.REPLICA_LOOKUP]
     if not line:
         return
-    servers = sorted(replicas_of(tables, group), key=_load_of(tables))
+    servers = _least_loaded_first(tables, replicas_of(tables, group))
     for server in servers:
         if not line:
             return
@@ -49,16 +47,18 @@
             _open_missing(tables, server, len(line), now)
 
 
-def _load_of(tables: Tables) -> Callable[[ServerRow], tuple[int, float]]:
-    def load(server: ServerRow) -> tuple[int, float]:
-        busy = sum(
-            1
-            for number in server.connections
-            if tables.connections[number].state is ConnectionState.BUSY
-        )
-        return (busy, tables.random.random())
+def _least_loaded_first(tables: Tables, servers: list[ServerRow]) -> list[ServerRow]:
+    """Return ``servers`` by how many of this box's statements they run, ties at random."""
+    return sorted(servers, key=lambda server: (_busy(tables, server), tables.random.random()))
+
+
+def _busy(tables: Tables, server: ServerRow) -> int:
+    return _count_in_state(tables, server, ConnectionState.BUSY)
 
-    return load
+
+def _count_in_state(tables: Tables, server: ServerRow, state: ConnectionState) -> int:
+    """Return how many of this box's connections to ``server`` are in ``state``."""
+    return sum(1 for number in server.connections if tables.connections[number].state is state)
 
 
 def _dispatch_primary(tables: Tables, group: GroupRow, now: float) -> None:
@@ -115,11 +115,7 @@
     """Return whether one more connection to ``server`` may be held by a transaction."""
     spec = tables.configuration.groups[group.name]
     share = connection_share(tables, spec.max_connections)
-    pinned = sum(
-        1
-        for number in server.connections
-        if tables.connections[number].state is ConnectionState.PINNED
-    )
+    pinned = _count_in_state(tables, server, ConnectionState.PINNED)
     return pinned < max(1, share - 1)
 
 
@@ -138,11 +134,7 @@
     if spec is None:
         return
     share = connection_share(tables, spec.max_connections)
-    opening = sum(
-        1
-        for number in server.connections
-        if tables.connections[number].state is ConnectionState.OPENING
-    )
+    opening = _count_in_state(tables, server, ConnectionState.OPENING)
     missing = min(share - len(server.connections), waiting - opening)
     for _ in range(missing):
         open_connection(tables, server)
--- a/wharftiller/core/lifecycle.py
+++ b/wharftiller/core/lifecycle.py
@@ -124,7 +124,7 @@
 
 def _answer_behind(tables: Tables, row: RequestRow, answer: EndpointAnswer, now: float) -> None:
     report = answer.report
-    detail = f"{report.endpoint} answered at ({report.log_term}, {report.position})"
+    detail = f"{report.endpoint} answered at {report.log_position}"
     row.note(ReasonKind.ANSWER_BEHIND, detail, report.endpoint)
     tables.count("answers.thrown_away")
     if report.role is Role.PRIMARY:
--- a/wharftiller/core/positions.py
+++ b/wharftiller/core/positions.py
@@ -20,6 +20,9 @@
     term: int = 0
     index: int = 0
 
+    def __str__(self) -> str:
+        return f"({self.term}, {self.index})"
+
     # Written out, since every statement compares some and attrs' own order is
     # ten times slower.
     def __lt__(self, other: LogPosition) -> bool:
--- a/wharftiller/core/routing.py
+++ b/wharftiller/core/routing.py
@@ -36,7 +36,7 @@
         return Reason(ReasonKind.REPLICA_BETWEEN_TERMS, detail, name)
     needed = row.request.session.position(row.group)
     if report.log_position < needed:
-        detail = f"{name} is at {_show(report.log_position)}, the session needs {_show(needed)}"
+        detail = f"{name} is at {report.log_position}, the session needs {needed}"
         return Reason(ReasonKind.REPLICA_BEHIND, detail, name)
     return _age_objection(tables, server, row, now)
 
@@ -57,10 +57,6 @@
     return Reason(ReasonKind.REPLICA_TOO_OLD, detail, server.name)
 
 
-def _show(position: object) -> str:
-    return str((getattr(position, "term", 0), getattr(position, "index", 0)))
-
-
 def replicas_of(tables: Tables, group: GroupRow) -> list[ServerRow]:
     """Return the servers of ``group`` that do not lead it."""
     return [tables.servers[name] for name in group.servers if name != group.primary]
