Tick seldom while nothing is under way; fill the capacity page from measured slopes

Cause: idle daemons used 3.9% (proxy) and 2.9% (steward) of a core before three servers, more than the 1.6% that control may use at the size to design for (measured on a busy machine); 100 and 50 ticks a second did nothing. Ruled out: the reports (0.07% of a core for each server at four a second). Change: a proxy without requests ticks ten times a second and is woken by a request; a steward without a promotion under way every 60 ms. Also: lookups on a primary stay near its slots.

--- a/wharftiller/core/dispatch.py
+++ b/wharftiller/core/dispatch.py
@@ -99,16 +99,22 @@
 
 
 def _lookup_may_use(tables: Tables, group: GroupRow, server: ServerRow) -> bool:
-    """Keep one connection to the primary free of lookups, where there are two."""
+    """Return whether one more lookup may run on the primary.
+
+    One connection is kept free of lookups, where there are two, and all boxes'
+    lookups together are kept near the primary's slots, so that a booking finds
+    few of them before it.
+    """
     spec = tables.configuration.groups[group.name]
     share = connection_share(tables, spec.max_connections)
+    slots = spec.slots // max(len(tables.boxes_seen), 1)
     lookups = 0
     for number in server.connections:
         key = tables.connections[number].request
         row = tables.requests.get(key) if key is not None else None
         if row is not None and not row.is_booking:
             lookups += 1
-    return lookups < max(1, share - 1)
+    return lookups < max(1, min(share - 1, slots))
 
 
 def may_pin(tables: Tables, group: GroupRow, server: ServerRow) -> bool:
--- a/wharftiller/core/steward.py
+++ b/wharftiller/core/steward.py
@@ -64,6 +64,12 @@
         """The rows, for the shell's views and for tests."""
         return self._tables
 
+    @property
+    def is_acting(self) -> bool:
+        """Whether a promotion is under way."""
+        groups = self._tables.groups.values()
+        return any(not isinstance(group.step, Watching) for group in groups)
+
     def handle(self, message: StewardInput, now: float) -> list[StewardOutput]:
         """Take one input at ``now`` (monotonic seconds) and return what is to be done."""
         match message:
--- a/wharftiller/daemons/proxy.py
+++ b/wharftiller/daemons/proxy.py
@@ -47,6 +47,9 @@
 from wharftiller.traces import TraceHeader, TraceRecorder
 
 TICK_S = 0.01
+IDLE_TICK_S = 0.1
+"""Time between ticks while nothing is under way; enough for heartbeats and bounds."""
+
 PUBLISH_S = 1.0
 FOLLOW_WAIT_MS = 1_000
 FOLLOW_AGAIN_S = 0.2
@@ -94,6 +97,7 @@
         self._waiters: dict[int, _Waiter] = {}
         self._unready = False
         self._stop_asked = trio.Event()
+        self._woken = trio.Event()
         self._connections: StatementConnections | None = None
         self._lanes: ReportLanes | None = None
 
@@ -168,6 +172,7 @@
         key = next(self._keys)
         waiter = _Waiter()
         self._waiters[key] = waiter
+        self._woken.set()
         self.feed(StatementArrived(key, request))
         await waiter.arrived.wait()
         assert waiter.answer is not None
@@ -175,7 +180,12 @@
 
     async def _tick_for_ever(self) -> None:
         while True:
-            await trio.sleep(TICK_S)
+            if self._core.tables.requests:
+                await trio.sleep(TICK_S)
+            else:
+                self._woken = trio.Event()
+                with trio.move_on_after(IDLE_TICK_S):
+                    await self._woken.wait()
             self.feed(Tick())
 
     async def _publish_for_ever(self) -> None:
--- a/wharftiller/daemons/steward.py
+++ b/wharftiller/daemons/steward.py
@@ -45,6 +45,9 @@
 from wharftiller.settings import Settings
 
 TICK_S = 0.02
+IDLE_TICK_S = 0.06
+"""Time between ticks while no promotion is under way; reports and answers need no tick."""
+
 PUBLISH_S = 1.0
 REPORT_TIMEOUT_S = 0.3
 ORDER_TIMEOUT_S = 0.5
@@ -159,7 +162,7 @@
     async def _tick_for_ever(self) -> None:
         published_at = trio.current_time()
         while True:
-            await trio.sleep(TICK_S)
+            await trio.sleep(TICK_S if self._core.is_acting else IDLE_TICK_S)
             self.feed(Tick())
             if trio.current_time() - published_at >= PUBLISH_S:
                 published_at = trio.current_time()
--- a/wharftiller/tests/core/test_proxy.py
+++ b/wharftiller/tests/core/test_proxy.py
@@ -226,6 +226,14 @@
         assert driver.sent()[-1].request_id == f"q{booking}"
         assert driver.core.tables.requests[lookup].phase is Phase.QUEUED
 
+    def test_lookups_on_the_primary_stay_near_its_slots(self) -> None:
+        driver = Driver()
+        for _ in range(10):
+            driver.ask(latest=True)
+        assert len(driver.sent()) == 1
+        driver.ask(Action.WRITE)
+        assert driver.sent()[-1].action is Action.WRITE
+
     def test_retries_end_with_the_budget(self) -> None:
         driver = Driver()
         driver.core.tables.retry_tokens = 0.5
