Refuse a business name that two pools put on one group

Ruled out: sending pool and business joined, which would change what an operator's database sees; a plan that says so is clearer. Change: the plan is refused and names the remedy. Conclusion: tested; before, such a plan was accepted.

--- a/wharftiller/core/configuration.py
+++ b/wharftiller/core/configuration.py
@@ -157,6 +157,7 @@
         faults.extend(_group_faults(group))
     for pool in configuration.pools.values():
         faults.extend(_pool_faults(pool, configuration))
+    faults.extend(_shared_business_faults(configuration))
     return faults
 
 
@@ -175,6 +176,19 @@
             )
 
 
+def _shared_business_faults(configuration: Configuration) -> Iterator[str]:
+    """Endpoints tell businesses apart by name, so a group holds a name for one pool only."""
+    holders: dict[tuple[str, str], str] = {}
+    for pool in configuration.pools.values():
+        for business, group in pool.businesses.items():
+            holder = holders.setdefault((group, business), pool.name)
+            if holder != pool.name:
+                yield (
+                    f"business {business!r} is on group {group!r} for pools {holder!r} and "
+                    f"{pool.name!r}, which would share its rows. Rename it, or use another group."
+                )
+
+
 def _group_faults(group: GroupSpec) -> list[str]:
     faults = []
     names = [endpoint.name for endpoint in group.endpoints]
--- a/wharftiller/tests/core/test_intents.py
+++ b/wharftiller/tests/core/test_intents.py
@@ -72,6 +72,11 @@
         wanted = apply_intent(START, CreatePool(pool), "plan")
         assert "is no name" in configuration_faults(wanted)[0]
 
+    def test_business_of_two_pools_on_one_group_is_refused(self) -> None:
+        pool = PoolSpec("q", ("g",), {"rila": "g"})
+        wanted = apply_intent(START, CreatePool(pool), "plan")
+        assert "would share its rows" in configuration_faults(wanted)[0]
+
     def test_two_drained_endpoints_are_refused(self) -> None:
         once = apply_intent(START, DrainEndpoint("g", "g-b"), "plan")
         twice = apply_intent(once, DrainEndpoint("g", "g-a"), "plan")
