End a transaction with its connection: a late statement crashed the proxy

A transaction's statement that passed its deadline closed the connection but left the transaction's row, and the next tick looked the connection up: KeyError, which ends the daemon. Also an active transaction counted as idle from the start of its last statement. Ruled out: the deadline heap and the request's row (both were clean). Change: forgetting a connection forgets its transaction; such a statement is told not_run (its transaction is rolled back), a commit unknown; use counts from the answer. Before: three new tests failed (two KeyErrors); after: 34 pass.

--- a/wharftiller/core/dispatch.py
+++ b/wharftiller/core/dispatch.py
@@ -156,8 +156,9 @@
 
 
 def forget_connection(tables: Tables, connection: ConnectionRow) -> None:
-    """Drop the row of a connection that is gone."""
+    """Drop the row of a connection that is gone, and of the transaction it was pinned to."""
     tables.connections.pop(connection.number, None)
+    tables.transactions.pop(connection.transaction or "", None)
     server = tables.servers.get(connection.endpoint)
     if server is not None and connection.number in server.connections:
         server.connections.remove(connection.number)
--- a/wharftiller/core/lifecycle.py
+++ b/wharftiller/core/lifecycle.py
@@ -180,6 +180,12 @@
     requeue(tables, row, now)
 
 
+def rolled_back(row: RequestRow) -> Reason:
+    """Return why a statement of a transaction did not run: its connection is gone."""
+    detail = "its connection was closed, so the server rolls it back; begin a new one"
+    return Reason(ReasonKind.TRANSACTION_LOST, detail, row.endpoint)
+
+
 def expire(tables: Tables, now: float) -> None:
     """Give the final answer to every request whose deadline has passed."""
     while tables.deadlines and tables.deadlines[0][0] <= now:
@@ -200,7 +206,10 @@
             close_connection(tables, connection)
     detail = f"{row.request.deadline_ms} ms have passed in phase {row.phase.value}"
     reason = Reason(ReasonKind.DEADLINE_PASSED, detail)
-    if row.phase is Phase.QUEUED and not row.uncertain:
+    if row.request.transaction is not None and row.request.action is not Action.COMMIT:
+        retry_after_ms = answers.jittered(tables, answers.RETRY_AFTER_UNKNOWN_MS)
+        answers.finish_not_run(tables, row, rolled_back(row), retry_after_ms, now)
+    elif row.phase is Phase.QUEUED and not row.uncertain:
         retry_after_ms = answers.jittered(tables, answers.RETRY_AFTER_FAILOVER_MS)
         answers.finish_not_run(tables, row, reason, retry_after_ms, now)
     else:
--- a/wharftiller/core/transactions.py
+++ b/wharftiller/core/transactions.py
@@ -82,6 +82,7 @@
 ) -> None:
     """Take in the answer to a statement inside a transaction."""
     action = row.request.action
+    tables.transactions[connection.transaction or ""].used_at = now
     if answer.verdict is Verdict.NOT_RUN:
         _end(tables, connection)
         detail = f"{answer.report.endpoint}: {answer.why}; it was rolled back. Begin a new one"
@@ -117,16 +118,13 @@
 def connection_lost(
     tables: Tables, connection: ConnectionRow, row: RequestRow | None, now: float
 ) -> None:
-    """Forget the transaction of a connection that broke; the server rolls it back."""
-    tables.transactions.pop(connection.transaction or "", None)
+    """Answer the statement of a transaction whose connection broke."""
     if row is None:
         return
     if row.request.action is Action.COMMIT:
         lifecycle.lost(tables, row, now)
         return
-    detail = "its connection broke, so the server rolled it back; begin a new one"
-    reason = Reason(ReasonKind.TRANSACTION_LOST, detail, connection.endpoint)
-    answers.finish_not_run(tables, row, reason, BEGIN_AGAIN_MS, now)
+    answers.finish_not_run(tables, row, lifecycle.rolled_back(row), BEGIN_AGAIN_MS, now)
 
 
 def end_overdue(tables: Tables, now: float) -> None:
@@ -136,6 +134,5 @@
         if connection.request is not None:
             continue
         if now - row.used_at > row.idle_s or now - row.started_at > row.length_s:
-            del tables.transactions[row.name]
             close_connection(tables, connection)
             tables.count("transactions.overdue")
--- a/wharftiller/tests/core/test_proxy.py
+++ b/wharftiller/tests/core/test_proxy.py
@@ -281,6 +281,39 @@
         key = driver.ask(Action.WRITE, transaction=transaction)
         assert driver.answers()[key].reason.kind is ReasonKind.TRANSACTION_UNKNOWN
 
+    def test_statement_past_its_deadline_ends_its_transaction(self) -> None:
+        driver = Driver()
+        transaction = self._begun(driver)
+        late = driver.ask(Action.WRITE, transaction=transaction, deadline_ms=100)
+        driver.now += 0.2
+        driver.feed(Tick())
+        assert driver.answers()[late].outcome is Outcome.NOT_RUN
+        assert driver.answers()[late].reason.kind is ReasonKind.TRANSACTION_LOST
+        driver.now += 10
+        driver.feed(Tick())
+        key = driver.ask(Action.WRITE, transaction=transaction)
+        assert driver.answers()[key].reason.kind is ReasonKind.TRANSACTION_UNKNOWN
+
+    def test_commit_past_its_deadline_is_unknown(self) -> None:
+        driver = Driver()
+        transaction = self._begun(driver)
+        key = driver.ask(Action.COMMIT, transaction=transaction, deadline_ms=100)
+        driver.now += 0.2
+        driver.feed(Tick())
+        driver.feed(Tick())
+        assert driver.answers()[key].outcome is Outcome.UNKNOWN
+
+    def test_transaction_in_use_is_not_idle(self) -> None:
+        driver = Driver()
+        transaction = self._begun(driver)
+        driver.ask(Action.WRITE, transaction=transaction)
+        driver.now += 1.5
+        driver.answer(driver.sent()[-1], driver.state("a", role=Role.PRIMARY))
+        driver.now += 1.5
+        driver.feed(Tick())
+        key = driver.ask(Action.WRITE, transaction=transaction)
+        assert key not in driver.answers()
+
     def test_one_statement_at_a_time(self) -> None:
         driver = Driver()
         transaction = self._begun(driver)
