--- a/wharftiller/core/admission.py
+++ b/wharftiller/core/admission.py
@@ -82,6 +82,7 @@
         replica_until=now + pool.read_rule.replica_wait_ms / 1000,
         allowed_age_s=age,
         primary_fallback=pool.read_rule.primary_fallback,
+        write_rule=pool.write_rule,
         generation=tables.configuration.generation,
     )
     row.to_primary = row.is_booking or age is None
@@ -125,8 +126,7 @@
         servers = replicas_of(tables, group)
     else:
         servers = [tables.servers[group.primary or group.servers[0]]]
-    spec = tables.configuration.groups[group.name]
-    share = connection_share(tables, spec.max_connections)
+    share = connection_share(tables, group.spec.max_connections)
     running_s = max(_longest_running_s(tables, server, row.arrived_at) for server in servers)
     service_s = max(running_s, *(server.service_s for server in servers))
     likely_s = max(running_s, *(server.likely_service_s for server in servers))
--- a/wharftiller/core/dispatch.py
+++ b/wharftiller/core/dispatch.py
@@ -105,7 +105,7 @@
     lookups together are kept near the primary's slots, so that a booking finds
     few of them before it.
     """
-    spec = tables.configuration.groups[group.name]
+    spec = group.spec
     share = connection_share(tables, spec.max_connections)
     slots = spec.slots // max(len(tables.boxes_seen), 1)
     lookups = 0
@@ -119,8 +119,7 @@
 
 def may_pin(tables: Tables, group: GroupRow, server: ServerRow) -> bool:
     """Return whether one more connection to ``server`` may be held by a transaction."""
-    spec = tables.configuration.groups[group.name]
-    share = connection_share(tables, spec.max_connections)
+    share = connection_share(tables, group.spec.max_connections)
     pinned = _count_in_state(tables, server, ConnectionState.PINNED)
     return pinned < max(1, share - 1)
 
@@ -136,9 +135,7 @@
 def _open_missing(tables: Tables, server: ServerRow, waiting: int, now: float) -> None:
     if now < server.retry_connect_at:
         return
-    spec = tables.configuration.groups.get(server.group)
-    if spec is None:
-        return
+    spec = tables.groups[server.group].spec
     share = connection_share(tables, spec.max_connections)
     opening = _count_in_state(tables, server, ConnectionState.OPENING)
     missing = min(share - len(server.connections), waiting - opening)
@@ -257,8 +254,8 @@
 def trim_connections(tables: Tables, now: float) -> None:
     """Close idle connections beyond the box's share, and those to leaving servers."""
     for server in tables.servers.values():
-        spec = tables.configuration.groups.get(server.group)
-        share = connection_share(tables, spec.max_connections) if spec else 0
+        spec = tables.groups[server.group].spec
+        share = connection_share(tables, spec.max_connections)
         if server.is_leaving and tables.groups[server.group].primary != server.name:
             share = 0
         excess = len(server.connections) - share
--- a/wharftiller/core/lifecycle.py
+++ b/wharftiller/core/lifecycle.py
@@ -170,8 +170,7 @@
 
 def settle(tables: Tables, row: RequestRow, now: float) -> None:
     """Ask the group's log what became of a write that may not be sent again."""
-    spec = tables.configuration.groups.get(row.group)
-    if spec is None or not spec.capabilities.recorded_ids:
+    if not tables.groups[row.group].spec.capabilities.recorded_ids:
         detail = f"group {row.group!r} records no request ids, so its fate cannot be asked for"
         answers.finish_unknown(tables, row, Reason(ReasonKind.ANSWER_LOST, detail), now)
         return
--- a/wharftiller/core/membership.py
+++ b/wharftiller/core/membership.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from wharftiller.core.queueing import GroupQueue
+from wharftiller.core.dispatch import close_connection
 from wharftiller.core.tables import GroupRow, ServerRow
 
 if TYPE_CHECKING:
@@ -24,12 +24,11 @@
 
 
 def _apply_group(tables: Tables, spec: GroupSpec) -> None:
-    names = tuple(endpoint.name for endpoint in spec.endpoints)
     row = tables.groups.get(spec.name)
     if row is None:
-        tables.groups[spec.name] = GroupRow(spec.name, names, GroupQueue())
+        tables.groups[spec.name] = GroupRow(spec)
     else:
-        row.servers = names
+        row.spec = spec
 
 
 def _apply_endpoint(tables: Tables, group: str, endpoint: EndpointSpec) -> None:
@@ -42,3 +41,24 @@
     row.address = endpoint.address
     row.control_address = endpoint.control_address
     row.leaving = endpoint.leaving
+
+
+def forget_removed(tables: Tables) -> None:
+    """Drop groups that are configured no more, once nothing is under way on them."""
+    removed = [name for name in tables.groups if name not in tables.configuration.groups]
+    for name in removed:
+        if not _is_in_use(tables, name):
+            _forget_group(tables, name)
+
+
+def _is_in_use(tables: Tables, group: str) -> bool:
+    requests = any(row.group == group for row in tables.requests.values())
+    return requests or any(row.group == group for row in tables.transactions.values())
+
+
+def _forget_group(tables: Tables, group: str) -> None:
+    for server in [row for row in tables.servers.values() if row.group == group]:
+        for number in list(server.connections):
+            close_connection(tables, tables.connections[number])
+        del tables.servers[server.name]
+    del tables.groups[group]
--- a/wharftiller/core/proxy.py
+++ b/wharftiller/core/proxy.py
@@ -273,6 +273,7 @@
         transactions.end_overdue(self._tables, now)
         heartbeat(self._tables, now)
         trim_connections(self._tables, now)
+        membership.forget_removed(self._tables)
         for group in self._tables.groups.values():
             self._give_up_on_deposed(group, now)
             self._progress_all(group, now)
--- a/wharftiller/core/steward.py
+++ b/wharftiller/core/steward.py
@@ -142,6 +142,7 @@
         if configuration.generation <= tables.configuration.generation:
             return
         tables.configuration = configuration
+        self._forget_removed(configuration)
         for spec in configuration.groups.values():
             group = tables.groups.get(spec.name)
             if group is None:
@@ -156,6 +157,12 @@
                 row.control_address = endpoint.control_address
                 row.leaving = endpoint.leaving
 
+    def _forget_removed(self, configuration: Configuration) -> None:
+        tables = self._tables
+        for name in [each for each in tables.groups if each not in configuration.groups]:
+            for server in tables.groups.pop(name).names:
+                tables.servers.pop(server, None)
+
     def _tick(self, now: float) -> None:
         self._notice_pause(now)
         for group in self._tables.groups.values():
--- a/wharftiller/core/tables.py
+++ b/wharftiller/core/tables.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from wharftiller.core.configuration import Configuration
+from wharftiller.core.configuration import Configuration, GroupSpec, WriteRule
 from wharftiller.core.freshness import FreshPoints
 from wharftiller.core.messages import (
     Action,
@@ -102,6 +102,8 @@
 
     Attributes
     ----------
+    spec : GroupSpec
+        As last configured; kept until its last request is answered.
     term : int
         Highest term in which a server is known to lead.
     hold_until : float
@@ -112,9 +114,8 @@
         Keys of the requests whose answer waits for a report.
     """
 
-    name: str
-    servers: tuple[str, ...]
-    queue: GroupQueue[int]
+    spec: GroupSpec
+    queue: GroupQueue[int] = attrs.field(factory=GroupQueue)
     term: int = 0
     primary: str | None = None
     hold_until: float = 0.0
@@ -122,6 +123,16 @@
     fresh: FreshPoints = attrs.field(factory=FreshPoints)
     checking: set[int] = attrs.field(factory=set)
 
+    @property
+    def name(self) -> str:
+        """The group's name."""
+        return self.spec.name
+
+    @property
+    def servers(self) -> tuple[str, ...]:
+        """The names of its servers."""
+        return tuple(endpoint.name for endpoint in self.spec.endpoints)
+
 
 class ConnectionState(enum.Enum):
     """Life of a statement connection."""
@@ -196,6 +207,7 @@
     replica_until: float = 0.0
     allowed_age_s: float | None = None
     primary_fallback: bool = True
+    write_rule: WriteRule = attrs.field(factory=WriteRule)
     generation: int = 0
     tried: set[str] = attrs.field(factory=set)
     steps: list[Reason] = attrs.field(factory=list)
--- a/wharftiller/core/transactions.py
+++ b/wharftiller/core/transactions.py
@@ -59,7 +59,7 @@
     server = tables.servers[connection.endpoint]
     if not may_pin(tables, group, server):
         return None
-    rule = tables.configuration.pools[row.request.pool].write_rule
+    rule = row.write_rule
     name = f"{tables.box}/{tables.next_number()}-{tables.random.getrandbits(64):016x}"
     connection.state = ConnectionState.PINNED
     connection.transaction = name
--- a/wharftiller/tests/core/test_promotion.py
+++ b/wharftiller/tests/core/test_promotion.py
@@ -5,6 +5,7 @@
 import random
 from typing import Any, TypeVar
 
+from wharftiller.core.configuration import Configuration
 from wharftiller.core.messages import ConfigurationArrived, Report, Role, Tick
 from wharftiller.core.steward import StewardCore
 from wharftiller.core.steward_messages import (
@@ -198,3 +199,14 @@
         assert (record.term, record.state) == (2, LeadState.LED)
         followers = {order.endpoint for order in driver.orders(Order.FOLLOW)}
         assert followers == {"a", "b", "c"} - {record.primary}
+
+
+class TestConfiguration:
+    def test_removed_group_is_asked_no_more(self) -> None:
+        driver = Driver()
+        driver.feed(ConfigurationArrived(Configuration(2)))
+        driver.outputs.clear()
+        driver.now += 5
+        driver.report("a")
+        driver.feed(Tick())
+        assert driver.outputs == []
--- a/wharftiller/tests/core/test_proxy.py
+++ b/wharftiller/tests/core/test_proxy.py
@@ -4,9 +4,11 @@
 
 import pytest
 
+from wharftiller.core.configuration import Configuration
 from wharftiller.core.messages import (
     Action,
     CloseConnection,
+    ConfigurationArrived,
     ConnectionLost,
     Lane,
     Outcome,
@@ -19,7 +21,7 @@
 )
 from wharftiller.core.reasons import ReasonKind
 from wharftiller.core.tables import Phase
-from wharftiller.tests.core.driver import Driver, at
+from wharftiller.tests.core.driver import CONFIGURATION, Driver, at
 
 
 class TestReads:
@@ -361,3 +363,24 @@
         for _ in range(2):
             key = driver.ask(Action.WRITE, deadline_ms=500)
         assert driver.answers()[key].reason.kind is ReasonKind.DEADLINE_OUT_OF_REACH
+
+
+class TestConfiguration:
+    def test_group_removed_under_a_request_answers_it_and_goes(self) -> None:
+        driver = Driver()
+        key = driver.ask(Action.WRITE)
+        driver.feed(ConfigurationArrived(Configuration(2)))
+        driver.feed(Tick())
+        driver.answer(driver.sent()[-1], driver.state("a", position=6, role=Role.PRIMARY))
+        driver.report("b", position=6)
+        assert driver.answers()[key].outcome is Outcome.DONE
+        driver.feed(Tick())
+        assert driver.core.tables.groups == {}
+        assert driver.core.tables.connections == {}
+
+    def test_pool_removed_under_a_begin_does_no_harm(self) -> None:
+        driver = Driver()
+        key = driver.ask(Action.BEGIN)
+        driver.feed(ConfigurationArrived(Configuration(2, {}, CONFIGURATION.groups)))
+        driver.answer(driver.sent()[-1], driver.state("a", role=Role.PRIMARY))
+        assert driver.answers()[key].outcome is Outcome.DONE
