--- a/wharftiller/daemons/steward.py
+++ b/wharftiller/daemons/steward.py
@@ -247,9 +247,8 @@
 
     def _notice(self, notice: NoticePrimary) -> None:
         assert self._nursery is not None
-        places = {entry.proxy for entry in self._spreader.boxes if entry.proxy}
-        places.add(self._settings.proxy.listen)
-        for address in places:
+        listed = [entry.proxy for entry in self._spreader.boxes if entry.proxy]
+        for address in sorted({self._settings.proxy.listen, *listed}):
             self._nursery.start_soon(self._notice_one, address, notice)
 
     async def _notice_one(self, address: str, notice: NoticePrimary) -> None:
--- a/wharftiller/tests/fakes/network.py
+++ b/wharftiller/tests/fakes/network.py
@@ -72,7 +72,7 @@
         if not self._closed:
             self._closed = True
             self._wake()
-            self._network.streams.discard(self)
+            self._network.streams.pop(self, None)
             if self.peer is not None and not self.peer._closed:
                 self.peer._put(b"")
 
@@ -88,7 +88,8 @@
 
     def __init__(self, latency: Latency) -> None:
         self.latency = latency
-        self.streams: set[FakeStream] = set()
+        # A dict keeps the order of opening; a set's order would differ from run to run.
+        self.streams: dict[FakeStream, None] = {}
         self.changed = trio.Event()
         self._listeners: dict[str, _Listener] = {}
         self._cuts: set[tuple[str, str]] = set()
@@ -149,7 +150,7 @@
             raise ExchangeError(f"{address} cannot be reached: nobody listens")
         near, far = FakeStream(self, source, target), FakeStream(self, target, source)
         near.peer, far.peer = far, near
-        self.streams |= {near, far}
+        self.streams |= {near: None, far: None}
         listener.nursery.start_soon(self._serve, listener, far)
         await trio.sleep(self.latency(target, source))
         return near
