--- a/benchmarks/capacity_rows.py
+++ b/benchmarks/capacity_rows.py
@@ -324,6 +324,7 @@
     lost = scale.connections / scale.daemons
     per_core = slopes["live: reads a second of a core, through a proxy"]
     neighbours = boxes - 1
+    connect_us = slopes["live: core time of a new caller connection and a first request"]
     missed = scale.changes_per_s * 3_600
     return [
         Row(
@@ -354,6 +355,15 @@
             "the platform's balancer spreads them",
             "built",
         ),
+        Row(
+            "their reconnects, core time a neighbour",
+            f"{lost / neighbours:,.1f} × {connect_us:,.0f} us",
+            lost / neighbours * connect_us / 1e3,
+            "ms",
+            None,
+            "a connection costs one task and a stream",
+            "built",
+        ),
         Row(
             "their first statements, core time a neighbour",
             f"{lost / neighbours:,.1f} ÷ {per_core:,.0f}/s",
