Say when no primary answers; drop what nothing uses

A booking refused at its deadline for want of a primary said only that time had passed. Change: that refusal names the missing primary (explain shows it); the rest is removed.

--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -61,7 +61,6 @@
         self.options = options
         self.connections = 0
         self.most_connections = 0
-        self.refused_connections = 0
         self.statements = 0
         self._transport = transport
         self._slots = trio.Semaphore(options.slots)
@@ -103,7 +102,6 @@
 
     async def _greet(self, connection: _Connection) -> HttpResponse:
         if self.connections >= self.options.max_connections:
-            self.refused_connections += 1
             return HttpResponse(429, {"error": "connection limit"}, close=True)
         connection.greeted = True
         self.connections += 1
--- a/wharftiller/core/lifecycle.py
+++ b/wharftiller/core/lifecycle.py
@@ -179,6 +179,16 @@
     requeue(tables, row, now)
 
 
+def _deadline_reason(tables: Tables, row: RequestRow) -> Reason:
+    passed = f"{row.request.deadline_ms} ms have passed"
+    primary = tables.primary_of(tables.groups[row.group])
+    silent = primary is None or primary.silent_since is not None
+    if row.phase is Phase.QUEUED and row.to_primary and silent:
+        detail = f"no primary of {row.group} answers and {passed}; come back after retry_after_ms"
+        return Reason(ReasonKind.NO_PRIMARY, detail, primary.name if primary else None)
+    return Reason(ReasonKind.DEADLINE_PASSED, f"{passed} in phase {row.phase.value}")
+
+
 def rolled_back(row: RequestRow) -> Reason:
     """Return why a statement of a transaction did not run: its connection is gone."""
     detail = "its connection was closed, so the server rolls it back; begin a new one"
@@ -203,8 +213,7 @@
         connection = tables.connections.get(row.connection)
         if connection is not None:
             close_connection(tables, connection)
-    detail = f"{row.request.deadline_ms} ms have passed in phase {row.phase.value}"
-    reason = Reason(ReasonKind.DEADLINE_PASSED, detail)
+    reason = _deadline_reason(tables, row)
     if row.request.transaction is not None and row.request.action is not Action.COMMIT:
         retry_after_ms = answers.jittered(tables, answers.RETRY_AFTER_UNKNOWN_MS)
         answers.finish_not_run(tables, row, rolled_back(row), retry_after_ms, now)
--- a/wharftiller/core/promotion.py
+++ b/wharftiller/core/promotion.py
@@ -54,7 +54,6 @@
 
 SECOND_REPLICA_WAIT_S = 0.1
 QUIESCE_HOLD_MS = 2_000
-ORDER_AGAIN_S = 0.1
 
 
 def consider(tables: WatchTables, group: WatchedGroup, now: float) -> None:
@@ -93,7 +92,6 @@
 
 def _go(group: WatchedGroup, step: Step, now: float) -> None:
     group.step = step
-    group.step_at = now
     group.orders_out.clear()
 
 
--- a/wharftiller/core/reasons.py
+++ b/wharftiller/core/reasons.py
@@ -47,7 +47,6 @@
     TRANSACTION_ELSEWHERE = "transaction_elsewhere"
     TRANSACTION_FOREIGN = "transaction_foreign"
     TRANSACTION_BUSY = "transaction_busy"
-    TRANSACTION_EXPIRED = "transaction_expired"
     TRANSACTION_LOST = "transaction_lost"
     # Requests
     UNKNOWN_POOL = "unknown_pool"
--- a/wharftiller/core/watch_tables.py
+++ b/wharftiller/core/watch_tables.py
@@ -141,7 +141,6 @@
     term: int = 0
     primary: str | None = None
     step: Step = Watching()
-    step_at: float = 0.0
     started_at: float = 0.0
     next_try_at: float = 0.0
     version: int = 0
--- a/wharftiller/daemons/steward.py
+++ b/wharftiller/daemons/steward.py
@@ -100,11 +100,6 @@
         """The core, for views and tests."""
         return self._core
 
-    @property
-    def spreader(self) -> Spreader:
-        """What spreads configuration, for views and tests."""
-        return self._spreader
-
     async def run(self, task_status: trio.TaskStatus[str] = trio.TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled."""
         async with trio.open_nursery() as nursery:
--- a/wharftiller/edges/transport.py
+++ b/wharftiller/edges/transport.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import ipaddress
-import math
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -102,8 +101,3 @@
 async def close_now(stream: trio.abc.AsyncResource) -> None:
     """Close ``stream`` without waiting for the other side."""
     await trio.aclose_forcefully(stream)
-
-
-def deadline_after(seconds: float | None) -> float:
-    """Return the trio time ``seconds`` from now; infinity for None."""
-    return math.inf if seconds is None else trio.current_time() + seconds
--- a/wharftiller/tests/core/test_proxy.py
+++ b/wharftiller/tests/core/test_proxy.py
@@ -203,6 +203,15 @@
         assert driver.answers()[key].outcome is expected
         assert driver.answers()[key].retry_after_ms
 
+    def test_deadline_without_a_primary_says_so(self) -> None:
+        driver = Driver()
+        driver.core.tables.groups["g"].hold_until = 1e9
+        key = driver.ask(Action.WRITE, deadline_ms=100)
+        driver.feed(ReportLost("a", Lane.NOW, driver.now))
+        driver.now += 0.2
+        driver.feed(Tick())
+        assert driver.answers()[key].reason.kind is ReasonKind.NO_PRIMARY
+
 
 class TestLimits:
     def test_full_queue_is_refused_at_once_with_when_to_come_back(self) -> None:
