--- a/wharftiller/tests/fakes/network.py
+++ b/standins/network.py
@@ -38,6 +38,7 @@
         self._arrived = trio.Event()
 
     async def send_all(self, data: bytes | bytearray | memoryview) -> None:
+        """Send bytes; they arrive after the link's latency."""
         await trio.lowlevel.checkpoint()
         await self._network.thawed(self.here)
         if self._closed:
@@ -47,9 +48,11 @@
         self.peer._put(bytes(data))
 
     async def wait_send_all_might_not_block(self) -> None:
+        """Return at once: nothing blocks here."""
         await trio.lowlevel.checkpoint()
 
     async def receive_some(self, max_bytes: int | None = None) -> bytes:
+        """Return the next bytes once they have arrived and the link is whole."""
         await trio.lowlevel.checkpoint()
         while True:
             await self._network.thawed(self.here)
@@ -65,10 +68,12 @@
                 return self._queue.popleft()[1]
 
     async def aclose(self) -> None:
+        """Close this end."""
         self.close_now()
         await trio.lowlevel.checkpoint()
 
     def close_now(self) -> None:
+        """Close this end; the other sees it after the link's latency."""
         if not self._closed:
             self._closed = True
             self._wake()
@@ -96,29 +101,36 @@
         self._frozen: set[str] = set()
 
     def host(self, ip: str) -> FakeTransport:
+        """Return the transport of the host with this IP number."""
         return FakeTransport(self, ip)
 
     def is_cut(self, source: str, target: str) -> bool:
+        """Return whether nothing passes from ``source`` to ``target``."""
         return (source, target) in self._cuts
 
     def cut(self, some: list[str], others: list[str]) -> None:
+        """Let nothing pass between two lists of hosts, either way."""
         for a in some:
             for b in others:
                 if a != b:
                     self._cuts |= {(a, b), (b, a)}
 
     def heal(self) -> None:
+        """Undo every cut; what was held passes now."""
         self._cuts.clear()
         self._change()
 
     def freeze(self, ip: str) -> None:
+        """Let a host neither send nor receive until `thaw`."""
         self._frozen.add(ip)
 
     def thaw(self, ip: str) -> None:
+        """Let a frozen host go on."""
         self._frozen.discard(ip)
         self._change()
 
     async def thawed(self, ip: str) -> None:
+        """Wait until a host is not frozen."""
         while ip in self._frozen:
             await self.changed.wait()
 
@@ -140,6 +152,13 @@
         self.changed = trio.Event()
 
     async def connect(self, source: str, address: str) -> FakeStream:
+        """Open a connection from a host to ``ip:port``.
+
+        Raises
+        ------
+        ExchangeError
+            If nobody listens there.
+        """
         target = address.rpartition(":")[0]
         await self.thawed(source)
         while self.is_cut(source, target):
@@ -166,6 +185,7 @@
     async def listen(
         self, address: str, handler: Handler, task_status: trio.TaskStatus[str]
     ) -> None:
+        """Accept connections on ``ip:port`` until cancelled."""
         async with trio.open_nursery() as nursery:
             self._listeners[address] = _Listener(handler, nursery)
             task_status.started(address)
@@ -183,9 +203,11 @@
     ip: str
 
     async def connect(self, address: str) -> trio.abc.Stream:
+        """Open a stream from this host."""
         return await self.network.connect(self.ip, address)
 
     async def serve(
         self, address: str, handler: Handler, task_status: trio.TaskStatus[str]
     ) -> None:
+        """Accept streams on this host."""
         await self.network.listen(address, handler, task_status)
--- a/wharftiller/tests/edges/test_platform.py
+++ b/wharftiller/tests/edges/test_platform.py
@@ -5,10 +5,10 @@
 import pytest
 import trio
 
+from standins.network import FakeNetwork
 from standins.platform import Platform, serve_platform
 from wharftiller.core.errors import PlatformUnavailableError
 from wharftiller.edges.platform import ConflictError, PlatformClient
-from wharftiller.tests.fakes.network import FakeNetwork
 from wharftiller.tests.fakes.world import run_deterministically
 
 
--- a/wharftiller/tests/fakes/world.py
+++ b/wharftiller/tests/fakes/world.py
@@ -11,6 +11,7 @@
 import trio.testing
 
 from standins.endpoint import Endpoint, EndpointOptions, serve_endpoint
+from standins.network import FakeNetwork
 from standins.platform import Platform, serve_platform
 from wharftiller.core.errors import ExchangeError
 from wharftiller.daemons.admin import AdminDaemon
@@ -27,7 +28,6 @@
     Settings,
     StewardSettings,
 )
-from wharftiller.tests.fakes.network import FakeNetwork
 
 PLATFORM = "10.0.0.1"
 CLIENT = "10.0.0.2"
