--- a/wharftiller/core/errors.py
+++ b/wharftiller/core/errors.py
@@ -92,3 +92,21 @@
 
     kind = "exchange_failed"
     status = 502
+
+
+class EndpointRefusedError(WharfError):
+    """An endpoint answered but did not take a connection.
+
+    Attributes
+    ----------
+    at_limit : bool
+        Whether it has too many connections; otherwise it is another endpoint
+        than the one expected at its address.
+    """
+
+    kind = "endpoint_refused"
+    status = 503
+
+    def __init__(self, message: str, *, at_limit: bool) -> None:
+        super().__init__(message)
+        self.at_limit = at_limit
--- a/wharftiller/core/freshness.py
+++ b/wharftiller/core/freshness.py
@@ -61,3 +61,21 @@
             if point.position <= position:
                 return point.at
         return -math.inf
+
+    def earliest_since(self, since: float) -> LogPosition | None:
+        """Return the least position that holds everything acknowledged before ``since``.
+
+        Parameters
+        ----------
+        since : float
+            Monotonic time, in seconds.
+
+        Returns
+        -------
+        LogPosition or None
+            None if no point is as new as that.
+        """
+        for point in self._points:
+            if point.at >= since:
+                return point.position
+        return None
--- /dev/null
+++ b/wharftiller/core/leadership/lease.py
@@ -0,0 +1,181 @@
+"""This box's leases: until when it may use the primary that it knows of.
+
+A lease runs `LEASE_S` from the *sending* of the last check that showed the record
+unchanged, on this box's own steady clock. A box that replaces a primary waits for
+`LEASE_S` after it learned that it won the record, or for every other box's word
+that it stopped; so no box uses an old primary once a new one has taken over.
+
+Two checks renew a lease: reading the record from the platform, and a round of
+questions to every other box that is listed. A round counts only if every box in
+the list answers, if each of them has read the record from the platform since it
+started, and if this box read the list from the platform itself within
+`LISTING_S`. A box that won or saw a newer revision tells it in its answer.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+
+from wharftiller.core.leadership.record import Leading, LeadershipRecord, Moving
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+LEASE_S = 4.0
+"""How long a check counts, in seconds.
+
+Two missed checks (1 s apart, 1 s to give up on each) and a margin; it is also the
+longest wait of a change of primary that a silent box causes.
+"""
+
+LISTING_S = 12.0
+"""How old the list of boxes may be in a round, in seconds.
+
+Longer than the outages of the platform that were seen (4.5 to 9 s). A box that
+joined less than `LISTING_S` + `LEASE_S` ago may be missing from others' lists.
+"""
+
+
+@attrs.define
+class GroupLease:
+    """The lease on one group's primary.
+
+    Attributes
+    ----------
+    endpoint : str
+        The primary it is for.
+    checked_at : float
+        Sending time of the last check that showed it leading, in seconds.
+    given_up : bool
+        True once this box gave its word to stop.
+    """
+
+    endpoint: str
+    term: int
+    checked_at: float
+    given_up: bool = False
+
+    def valid(self, now: float) -> bool:
+        """Return whether the primary may be used at ``now`` (seconds)."""
+        return not self.given_up and now < self.checked_at + LEASE_S
+
+
+@attrs.frozen
+class RoundAnswer:
+    """Another box's answer in a round.
+
+    Attributes
+    ----------
+    has_read_platform : bool
+        Whether it read the record from the platform since it started.
+    """
+
+    box: str
+    has_read_platform: bool
+    record: LeadershipRecord
+
+
+@attrs.define
+class LeaseTable:
+    """What this box believes of every group's leadership.
+
+    Attributes
+    ----------
+    record : LeadershipRecord
+        The newest record seen from anywhere; never goes back.
+    read_from_platform : bool
+        Whether the record was read from the platform since this process started.
+    boxes, boxes_listed_at : frozenset of str, float
+        The other boxes as listed in the platform, and when the list was asked for.
+    """
+
+    record: LeadershipRecord = attrs.field(factory=LeadershipRecord)
+    read_from_platform: bool = False
+    boxes: frozenset[str] = frozenset()
+    boxes_listed_at: float = -math.inf
+    _leases: dict[str, GroupLease] = attrs.field(factory=dict)
+
+    def lease(self, group: str, now: float) -> GroupLease | None:
+        """Return the valid lease on ``group``'s primary, if there is one."""
+        lease = self._leases.get(group)
+        return lease if lease is not None and lease.valid(now) else None
+
+    def last_lease(self, group: str) -> GroupLease | None:
+        """Return the lease on ``group``, valid or not."""
+        return self._leases.get(group)
+
+    def may_start(self, group: str, now: float) -> GroupLease | None:
+        """Return the lease under which a new write or primary read may be sent."""
+        if isinstance(self.record.groups.get(group), Moving):
+            return None
+        return self.lease(group, now)
+
+    def may_acknowledge(self, group: str, endpoint: str, now: float) -> bool:
+        """Return whether a write that ``endpoint`` committed may be acknowledged at ``now``."""
+        lease = self.lease(group, now)
+        return lease is not None and lease.endpoint == endpoint
+
+    def adopt(self, record: LeadershipRecord) -> bool:
+        """Take in a record from anywhere; return whether it is newer than the one known."""
+        if record.revision <= self.record.revision:
+            return False
+        self.record = record
+        for group, state in record.groups.items():
+            lease = self._leases.get(group)
+            if lease is None:
+                continue
+            leads = state.endpoint if isinstance(state, Leading) else state.old.endpoint
+            if leads != lease.endpoint:
+                del self._leases[group]
+            elif isinstance(state, Moving) and not state.planned:
+                lease.given_up = True
+        return True
+
+    def read(self, record: LeadershipRecord, asked_at: float) -> None:
+        """Take in a record read from the platform, asked for at ``asked_at`` (seconds)."""
+        self.adopt(record)
+        self.read_from_platform = True
+        if record.revision >= self.record.revision:
+            self._renew(asked_at)
+
+    def listed(self, boxes: Iterable[str], asked_at: float) -> None:
+        """Take in the platform's list of the other boxes."""
+        self.boxes = frozenset(boxes)
+        self.boxes_listed_at = max(self.boxes_listed_at, asked_at)
+
+    def round_ended(self, answers: Iterable[RoundAnswer], asked_at: float) -> bool:
+        """Take in a round's answers; return whether it renewed the leases."""
+        answered: set[str] = set()
+        for answer in answers:
+            self.adopt(answer.record)
+            if answer.has_read_platform:
+                answered.add(answer.box)
+        counts = (
+            bool(self.boxes)
+            and self.boxes <= answered
+            and asked_at - self.boxes_listed_at < LISTING_S
+            and self.read_from_platform
+        )
+        if counts:
+            self._renew(asked_at)
+        return counts
+
+    def give_word(self, group: str, endpoint: str) -> None:
+        """Stop using ``endpoint`` as ``group``'s primary, for good in this term."""
+        lease = self._leases.get(group)
+        if lease is not None and lease.endpoint == endpoint:
+            lease.given_up = True
+
+    def _renew(self, asked_at: float) -> None:
+        for group, state in self.record.groups.items():
+            if not isinstance(state, Leading):
+                continue
+            lease = self._leases.get(group)
+            if lease is None or lease.endpoint != state.endpoint or lease.given_up:
+                self._leases[group] = GroupLease(state.endpoint, state.term, asked_at)
+            else:
+                lease.checked_at = max(lease.checked_at, asked_at)
+                lease.term = state.term
--- /dev/null
+++ b/wharftiller/core/leadership/moves.py
@@ -0,0 +1,76 @@
+"""When to replace a primary, and by which endpoint."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from wharftiller.core.rendezvous import ranked
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from wharftiller.core.positions import LogPosition
+    from wharftiller.core.sessions.endpoints import EndpointRow
+
+UNREACHABLE_S = 1.2
+"""How long a primary must be silent to every box before it is replaced, in seconds.
+
+Writes that no replica had received yet are lost with it (20 to 60 ms of them), so
+a pause of a second is borne first; every further second stops the group's writes.
+"""
+
+TURN_S = 0.4
+"""Time by which each further box leaves the first move to those before it, in seconds."""
+
+SEND_WINDOW_S = 6.0
+"""Time after asking for the record within which its winner may order the promotion.
+
+The lease that it waits for (4 s), the promotion's own call (1.5 s) and a margin.
+"""
+
+TAKE_OVER_S = 9.0
+"""Time after which another box may take a change over, from seeing it, in seconds.
+
+The winner's window, its call's time-out (1.5 s) and a margin for a late effect.
+"""
+
+
+@attrs.frozen
+class Candidate:
+    """A replica that could take over, as it last told."""
+
+    name: str
+    received: LogPosition
+    data_centre: str
+
+
+def best_candidate(candidates: Iterable[Candidate]) -> Candidate | None:
+    """Return the candidate that has received most; ties go by name."""
+    return max(candidates, key=lambda each: (_key(each.received), each.name), default=None)
+
+
+def _key(position: LogPosition) -> tuple[int, int]:
+    return position.term, position.index
+
+
+def is_lost(row: EndpointRow | None, turn: int, now: float) -> bool:
+    """Return whether a primary has been silent to this box for long enough.
+
+    Parameters
+    ----------
+    row : EndpointRow or None
+        None if it is not registered any more.
+    turn : int
+        How many boxes go first.
+    """
+    if row is None or row.gone:
+        return True
+    since = row.unreachable_since
+    return since is not None and now - since >= UNREACHABLE_S + turn * TURN_S
+
+
+def turn_of(box: str, boxes: Iterable[str], group: str) -> int:
+    """Return how many of ``boxes`` go before ``box`` in replacing ``group``'s primary."""
+    return ranked(group, {box, *boxes}).index(box)
--- /dev/null
+++ b/wharftiller/core/sessions/endpoints.py
@@ -0,0 +1,121 @@
+"""What this box knows of each endpoint from its own answers."""
+
+from __future__ import annotations
+
+import math
+
+import attrs
+
+from wharftiller.core.positions import LogPosition
+from wharftiller.core.sessions.routes import EndpointEntry
+
+SERVICE_WEIGHT = 0.15
+"""Weight of the newest statement in the smoothed service time."""
+
+FIRST_SERVICE_S = 0.02
+"""Service time assumed of an endpoint that has not answered yet, in seconds."""
+
+SILENCE_FLOOR_S = 0.3
+"""An answer owed for less than this is never taken as silence, in seconds.
+
+Twice the longest statement of the deployments served (0.15 s at five times the usual work).
+"""
+
+SILENCE_FACTOR = 6.0
+"""An answer owed for so many service times is taken as silence."""
+
+LEAVING_PRIMARY_S = 5.5
+"""Time for which a primary that said it is leaving is still used, in seconds.
+
+The platforms served allow 7 s and more from the announcement; this leaves 1.5 s for
+the announcement's way here and for a statement on its way there.
+"""
+
+
+@attrs.define
+class EndpointRow:
+    """One endpoint.
+
+    Attributes
+    ----------
+    owed : dict of int to float
+        Send times of the statements not answered yet, by connection number.
+    heard_at : float
+        When it last answered anything, in seconds.
+    unreachable_since : float or None
+        Since when nothing has been heard although something was asked.
+    position, position_at : LogPosition or None, float
+        End of its log as it last told, and when it told it.
+    behind, behind_at : LogPosition or None, float
+        A position it refused for, and when.
+    leaving_since : float or None
+        When this box learned that it is about to end.
+    """
+
+    entry: EndpointEntry
+    owed: dict[int, float] = attrs.field(factory=dict)
+    service_s: float = FIRST_SERVICE_S
+    heard_at: float = -math.inf
+    unreachable_since: float | None = None
+    position: LogPosition | None = None
+    position_at: float = -math.inf
+    behind: LogPosition | None = None
+    behind_at: float = -math.inf
+    gone: bool = False
+    leaving_since: float | None = None
+
+    @property
+    def name(self) -> str:
+        """The endpoint's name."""
+        return self.entry.name
+
+    def may_still_lead(self, now: float) -> bool:
+        """Return whether a primary that is about to end may still be sent statements."""
+        return self.leaving_since is None or now - self.leaving_since < LEAVING_PRIMARY_S
+
+    def sent(self, connection: int, now: float) -> None:
+        """Note that an answer is owed on ``connection``."""
+        self.owed[connection] = now
+
+    def answered(self, connection: int, now: float, position: LogPosition | None) -> None:
+        """Note an answer and the log position that came with it."""
+        sent_at = self.owed.pop(connection, None)
+        self.heard(now, position)
+        if sent_at is not None:
+            self.service_s += SERVICE_WEIGHT * (now - sent_at - self.service_s)
+
+    def heard(self, now: float, position: LogPosition | None = None) -> None:
+        """Note that it is alive."""
+        self.heard_at = now
+        self.unreachable_since = None
+        if position is not None:
+            self.position = position
+            self.position_at = now
+
+    def given_up(self, connection: int, now: float, *, silent: bool) -> None:
+        """Note that an answer will not come, or not be waited for."""
+        sent_at = self.owed.pop(connection, now)
+        if silent and self.heard_at <= sent_at:
+            self.failed(sent_at)
+
+    def failed(self, since: float) -> None:
+        """Note that it could not be reached, as of ``since``."""
+        if self.unreachable_since is None:
+            self.unreachable_since = since
+
+    def refused_as_behind(self, position: LogPosition, now: float) -> None:
+        """Note that its log lacked ``position``."""
+        self.behind = position
+        self.behind_at = now
+
+    def is_silent(self, now: float) -> bool:
+        """Return whether an answer is owed for so long that it may be dead."""
+        if not self.owed:
+            return False
+        limit = max(SILENCE_FLOOR_S, SILENCE_FACTOR * self.service_s)
+        oldest = min(self.owed.values())
+        return self.heard_at <= oldest and now - oldest > limit
+
+    def is_suspect(self, now: float) -> bool:
+        """Return whether nothing new should be sent to it if another will do."""
+        return self.unreachable_since is not None or self.is_silent(now)
--- /dev/null
+++ b/wharftiller/core/sessions/routes.py
@@ -0,0 +1,106 @@
+"""What operators configured for callers' sessions: routes by database name."""
+
+from __future__ import annotations
+
+import attrs
+
+
+@attrs.frozen
+class PrimaryReads:
+    """Reads see every acknowledged write."""
+
+
+@attrs.frozen
+class BoundedReads:
+    """Reads may miss what was acknowledged within the last ``max_age_s`` seconds."""
+
+    max_age_s: float
+
+
+@attrs.frozen
+class OwnWritesReads:
+    """Like `BoundedReads`, and a session always sees what it wrote itself."""
+
+    max_age_s: float
+
+
+Consistency = PrimaryReads | BoundedReads | OwnWritesReads
+
+
+@attrs.frozen
+class Route:
+    """How sessions on one database are served.
+
+    Attributes
+    ----------
+    timeout_s : float
+        Time one statement may take, in seconds.
+    latency_goal_s : float
+        Time within which an operation should be answered, in seconds.
+    priority : int
+        0 goes first.
+    """
+
+    name: str
+    database: str
+    group: str
+    consistency: Consistency
+    timeout_s: float
+    latency_goal_s: float
+    priority: int
+
+
+@attrs.frozen
+class GroupLimits:
+    """What one group's endpoints accept.
+
+    Attributes
+    ----------
+    max_connections : int
+        Connections one endpoint accepts from all boxes together.
+    sync_replicas : int
+        Replicas that hold a write before it is acknowledged.
+    """
+
+    name: str
+    max_connections: int
+    sync_replicas: int = 0
+
+
+@attrs.frozen
+class SessionConfiguration:
+    """One version of the operators' configuration.
+
+    Attributes
+    ----------
+    transaction_idle_s : float
+        A transaction that rests longer may be ended.
+    document : dict or None
+        As received, to hand to other boxes.
+    """
+
+    version: int = 0
+    routes: dict[str, Route] = attrs.field(factory=dict)
+    groups: dict[str, GroupLimits] = attrs.field(factory=dict)
+    transaction_idle_s: float = 3.0
+    document: object = attrs.field(default=None, eq=False, repr=False)
+
+
+@attrs.frozen
+class EndpointEntry:
+    """One endpoint as it registered itself.
+
+    Attributes
+    ----------
+    leads : bool
+        Whether it takes itself for the primary.
+    leaving : bool
+        Whether it is about to end.
+    """
+
+    name: str
+    group: str
+    address: str
+    data_centre: str
+    leads: bool
+    leaving: bool
--- /dev/null
+++ b/wharftiller/core/sessions/routing.py
@@ -0,0 +1,118 @@
+"""Which endpoint runs a read, and the log position that makes the read safe.
+
+A read carries the position that its endpoint's log must hold, and the endpoint
+itself refuses where its log falls short. What this box believes of a replica only
+decides whom to ask first.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from wharftiller.core.positions import NOWHERE, LogPosition
+from wharftiller.core.sessions.routes import BoundedReads, OwnWritesReads, PrimaryReads
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from wharftiller.core.freshness import FreshPoints
+    from wharftiller.core.sessions.endpoints import EndpointRow
+    from wharftiller.core.sessions.routes import Route
+    from wharftiller.core.sessions.session import Session
+
+REPLICA_RETRY_S = 0.15
+"""Time after a refusal for being behind before the replica is asked for as much again.
+
+About twice the usual replication lag of the deployments served (20 and 60 ms).
+"""
+
+POSITION_RECENT_S = 0.1
+"""A told log position stands for the present one for so long, in seconds."""
+
+LEAD_COST = 2.0
+"""Statements that the primary is taken to run already: it alone serves writes."""
+
+DISTANCE_COST = 0.15
+"""Statements that another data centre's endpoint is taken to run already.
+
+A round trip between data centres over a usual statement: 2.8 ms over 18 ms.
+"""
+
+
+@attrs.frozen
+class OnlyPrimary:
+    """The read must run on the primary, under a valid lease."""
+
+    why: str
+
+
+@attrs.frozen
+class AnyReplica:
+    """The read may run on any endpoint whose log holds ``position``."""
+
+    position: LogPosition
+
+
+Need = OnlyPrimary | AnyReplica
+
+
+def need_of_read(route: Route, session: Session, points: FreshPoints, begun_at: float) -> Need:
+    """Return what a read that began at ``begun_at`` (seconds) needs."""
+    if route.group in session.unsettled:
+        return OnlyPrimary("the outcome of a write of this session is not known")
+    match route.consistency:
+        case PrimaryReads():
+            return OnlyPrimary("the route reads from the primary")
+        case BoundedReads(max_age_s):
+            own = NOWHERE
+        case OwnWritesReads(max_age_s):
+            own = session.own_writes.get(route.group, NOWHERE)
+    position = points.earliest_since(begun_at - max_age_s)
+    if position is None:
+        return OnlyPrimary("no log position is known that is new enough")
+    return AnyReplica(max(position, own))
+
+
+def replica_order(
+    rows: Iterable[EndpointRow],
+    position: LogPosition,
+    lead: str | None,
+    data_centre: str,
+    busy: dict[str, int],
+    now: float,
+) -> list[EndpointRow]:
+    """Return the endpoints that may hold ``position``, best first.
+
+    Parameters
+    ----------
+    lead : str or None
+        The primary's name.
+    busy : dict of str to int
+        Statements of this box that each endpoint runs or that wait for it.
+    """
+    usable = [row for row in rows if _may_hold(row, position, lead, now)]
+
+    def cost(row: EndpointRow) -> float:
+        load = busy.get(row.name, 0) + 1.0
+        if row.name == lead:
+            load += LEAD_COST
+        if row.entry.data_centre != data_centre:
+            load += DISTANCE_COST
+        return load * row.service_s
+
+    return sorted(usable, key=cost)
+
+
+def _may_hold(row: EndpointRow, position: LogPosition, lead: str | None, now: float) -> bool:
+    if row.gone or row.is_suspect(now):
+        return False
+    if row.name == lead:
+        return row.may_still_lead(now)
+    if row.leaving_since is not None:
+        return False
+    if row.behind is not None and position >= row.behind and now - row.behind_at < REPLICA_RETRY_S:
+        return False
+    recent = row.position is not None and now - row.position_at < POSITION_RECENT_S
+    return not (recent and row.position is not None and row.position < position)
--- /dev/null
+++ b/wharftiller/core/sessions/session.py
@@ -0,0 +1,70 @@
+"""One caller's session: its values, prepared names and open transaction."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+from wharftiller.core.positions import NOWHERE, LogPosition
+from wharftiller.core.sessions.routes import Route
+from wharftiller.core.sessions.statements import PreparedStatement, SessionState
+
+
+@attrs.define
+class OpenTransaction:
+    """A transaction; ``connection`` is None until its first statement needs one.
+
+    Attributes
+    ----------
+    begun_at, used_at : float
+        When it began and when its last statement was answered, in seconds.
+    wrote : bool
+        Whether a write was sent on it.
+    """
+
+    route: Route
+    read_only: bool
+    begun_at: float
+    used_at: float
+    connection: Any = None
+    wrote: bool = False
+    failed: bool = False
+
+
+@attrs.define
+class Session:
+    """A caller's connection and everything that holds until it ends.
+
+    Attributes
+    ----------
+    own_writes : dict of str to LogPosition
+        Newest position this session wrote, per group.
+    unsettled : set of str
+        Groups in which a write's outcome was not learned.
+    """
+
+    number: int
+    database: str
+    caller: str
+    values: dict[str, str] = attrs.field(factory=dict)
+    prepared: dict[str, PreparedStatement] = attrs.field(factory=dict)
+    transaction: OpenTransaction | None = None
+    own_writes: dict[str, LogPosition] = attrs.field(factory=dict)
+    unsettled: set[str] = attrs.field(factory=set)
+
+    @property
+    def state(self) -> SessionState:
+        """Where the session stands between statements."""
+        if self.transaction is None:
+            return SessionState.IDLE
+        if self.transaction.failed:
+            return SessionState.FAILED
+        return SessionState.IN_TRANSACTION
+
+    def wrote(self, group: str, position: LogPosition | None) -> None:
+        """Note an acknowledged write."""
+        if position is None:
+            self.unsettled.add(group)
+        elif position > self.own_writes.get(group, NOWHERE):
+            self.own_writes[group] = position
--- /dev/null
+++ b/wharftiller/daemons/sessions/__init__.py
@@ -0,0 +1,1 @@
+"""The session proxy's shell: tasks and sockets around the decisions of `wharftiller.core`."""
--- /dev/null
+++ b/wharftiller/daemons/sessions/boxes.py
@@ -0,0 +1,300 @@
+"""What boxes ask one another: rounds that renew leases, words to stop, configuration.
+
+A round is one question to every other box. Its answers carry the record's newest
+revision, the version of the configuration, log positions of primaries with the
+age of the question that told them, and which primaries the box hears.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import trio
+
+from wharftiller.core.errors import BadRequestError, ExchangeError, UnknownPathError
+from wharftiller.core.freshness import FreshPoint
+from wharftiller.core.leadership.lease import RoundAnswer
+from wharftiller.core.leadership.record import Leading, Moving
+from wharftiller.core.positions import LogPosition
+from wharftiller.edges.http_client import HttpClient
+from wharftiller.edges.http_server import HttpRequest, HttpResponse
+from wharftiller.edges.leadership_json import record_from_json, record_to_json
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wharftiller.core.leadership.record import LeadershipRecord
+    from wharftiller.daemons.sessions.state import SharedState
+    from wharftiller.edges.transport import Transport
+
+ROUND_S = 1.2
+"""Time between rounds, in seconds: a lease of 4 s survives two that fail."""
+
+ROUND_TIMEOUT_S = 0.7
+"""Time a box has to answer in a round, in seconds."""
+
+WORD_TIMEOUT_S = 1.5
+"""Time a box has to give its word, in seconds; it may first let its writes end."""
+
+QUIET_WAIT_S = 1.0
+"""Time for which writes under way may end before a planned change, in seconds."""
+
+HEARD_RECENT_S = 1.0
+"""A primary that answered within this time counts as heard, in seconds."""
+
+
+@attrs.frozen
+class Box:
+    """Another box of the deployment.
+
+    Attributes
+    ----------
+    incarnation : str
+        Id of its process; another one means that the former process is gone.
+    """
+
+    name: str
+    address: str
+    incarnation: str
+    data_centre: str
+
+
+@attrs.frozen
+class BoxReply:
+    """One box's answer in a round."""
+
+    answer: RoundAnswer
+    incarnation: str
+    version: int
+    hears: frozenset[str]
+
+
+class BoxDirectory:
+    """The other boxes, and this box's questions to them."""
+
+    def __init__(self, state: SharedState, transport: Transport, incarnation: str) -> None:
+        self._state = state
+        self._transport = transport
+        self._clients: dict[str, HttpClient] = {}
+        self.incarnation = incarnation
+        self.boxes: dict[str, Box] = {}
+        self.replies: dict[str, BoxReply] = {}
+        self.answered_at: dict[str, float] = {}
+
+    def take_list(self, boxes: dict[str, Box]) -> None:
+        """Take in the platform's list of the other boxes."""
+        for name in boxes.keys() - self.boxes.keys():
+            self._state.log.change("box_listed", other=name)
+        for name in self.boxes.keys() - boxes.keys():
+            self._state.log.change("box_unlisted", other=name)
+            self.replies.pop(name, None)
+        self.boxes = boxes
+
+    async def round(self) -> bool:
+        """Ask every other box; return whether the answers renewed the leases."""
+        asked_at = trio.current_time()
+        boxes = dict(self.boxes)
+        replies: dict[str, BoxReply] = {}
+
+        async def ask(box: Box) -> None:
+            reply = await self._ask_round(box, asked_at)
+            if reply is not None:
+                replies[box.name] = reply
+
+        async with trio.open_nursery() as nursery:
+            for box in boxes.values():
+                nursery.start_soon(ask, box)
+        self._note_contact(boxes, replies)
+        answers = [reply.answer for reply in replies.values()]
+        before = self._state.leases.record.revision
+        renewed = self._state.leases.round_ended(answers, asked_at)
+        if renewed or self._state.leases.record.revision != before:
+            self._state.wake()
+        return renewed
+
+    def _note_contact(self, boxes: dict[str, Box], replies: dict[str, BoxReply]) -> None:
+        for name in boxes:
+            known = name in self.replies
+            if name in replies and not known:
+                self._state.log.change("box_answers", other=name)
+            elif name not in replies and known:
+                self._state.log.change("box_silent", other=name)
+        self.replies = replies
+
+    async def _ask_round(self, box: Box, asked_at: float) -> BoxReply | None:
+        question = {"box": self._state.box, "revision": self._state.leases.record.revision}
+        try:
+            value = await self._post(box, "/peer/round", question, ROUND_TIMEOUT_S)
+            self.answered_at[box.name] = trio.current_time()
+            return self._take_reply(box, value, asked_at)
+        except (ExchangeError, BadRequestError) as error:
+            self._state.log.event("box_did_not_answer", other=box.name, why=str(error))
+            return None
+
+    def _take_reply(self, box: Box, value: Any, asked_at: float) -> BoxReply:
+        try:
+            record = self._state.leases.record
+            if value["record"] is not None:
+                record = record_from_json(value["record"], value["revision"])
+            for group, (lead, term, index, age_ms) in value["points"].items():
+                self._take_point(group, lead, LogPosition(term, index), asked_at - age_ms / 1000)
+            answer = RoundAnswer(box.name, bool(value["read"]), record)
+            hears = frozenset(map(str, value["hears"]))
+            return BoxReply(answer, str(value["incarnation"]), int(value["version"]), hears)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            raise BadRequestError(
+                f"{box.name} answered a round with nonsense: {error!r}. Run one version everywhere"
+            ) from None
+
+    def _take_point(self, group: str, lead: str, position: LogPosition, at: float) -> None:
+        """Take in a log position that another box had from the primary."""
+        if lead == self._state.lead(group):
+            self._state.points(group).add(FreshPoint(at, position))
+
+    async def _post(self, box: Box, path: str, body: Any, timeout_s: float) -> Any:
+        client = self._client(box.address)
+        answer = await client.request("POST", path, body, timeout_s=timeout_s)
+        if answer.status != 200:
+            raise ExchangeError(f"{box.name} answered {answer.status} to {path}")
+        return answer.json()
+
+    def _client(self, address: str) -> HttpClient:
+        client = self._clients.get(address)
+        if client is None:
+            client = self._clients[address] = HttpClient(self._transport, address)
+        return client
+
+    async def ask_word(self, box: Box, group: str, record: LeadershipRecord) -> bool:
+        """Ask a box to stop using ``group``'s old primary; return whether it has."""
+        body = {"group": group, "revision": record.revision, "record": record_to_json(record)}
+        try:
+            value = await self._post(box, "/peer/stop", body, WORD_TIMEOUT_S)
+        except ExchangeError as error:
+            self._state.log.event("word_not_given", other=box.name, group=group, why=str(error))
+            return False
+        return isinstance(value, dict) and value.get("stopped") is True
+
+    async def tell_record(self, record: LeadershipRecord) -> None:
+        """Tell every other box of a new record."""
+        body = {"revision": record.revision, "record": record_to_json(record)}
+
+        async def tell(box: Box) -> None:
+            try:
+                await self._post(box, "/peer/record", body, ROUND_TIMEOUT_S)
+            except ExchangeError as error:
+                self._state.log.event("record_not_told", other=box.name, why=str(error))
+
+        async with trio.open_nursery() as nursery:
+            for box in self.boxes.values():
+                nursery.start_soon(tell, box)
+
+    async def fetch_known(self, address: str) -> dict[str, Any] | None:
+        """Return what the box at ``address`` knows of configuration and endpoints."""
+        try:
+            answer = await self._client(address).request(
+                "GET", "/peer/known", timeout_s=ROUND_TIMEOUT_S
+            )
+            value = answer.json()
+        except ExchangeError as error:
+            self._state.log.event("box_did_not_answer", other=address, why=str(error))
+            return None
+        return value if isinstance(value, dict) else None
+
+
+class BoxServer:
+    """Answers other boxes' questions.
+
+    Parameters
+    ----------
+    known : callable
+        Returns what a starting box may learn from this one, as JSON.
+    """
+
+    def __init__(
+        self, state: SharedState, incarnation: str, known: Callable[[], dict[str, Any]]
+    ) -> None:
+        self._state = state
+        self._incarnation = incarnation
+        self._known = known
+
+    async def handle(self, request: HttpRequest) -> HttpResponse:
+        """Answer one question."""
+        match (request.method, request.path):
+            case ("POST", "/peer/round"):
+                return HttpResponse(200, self._round(request.json()))
+            case ("POST", "/peer/stop"):
+                return HttpResponse(200, await self._stop(request.json()))
+            case ("POST", "/peer/record"):
+                self._adopt(request.json())
+                return HttpResponse(200, {})
+            case ("GET", "/peer/known"):
+                return HttpResponse(200, self._known())
+            case (method, path):
+                raise UnknownPathError(f"no {method} {path}; boxes ask under /peer/")
+
+    def _round(self, question: Any) -> dict[str, Any]:
+        if not isinstance(question, dict) or not isinstance(question.get("revision"), int):
+            raise BadRequestError("a round's question names its revision; run one version")
+        state = self._state
+        record = state.leases.record
+        newer = record.revision > question["revision"]
+        return {
+            "incarnation": self._incarnation,
+            "read": state.leases.read_from_platform,
+            "revision": record.revision,
+            "record": record_to_json(record) if newer else None,
+            "version": state.version,
+            "points": self._points(),
+            "hears": self._heard(),
+        }
+
+    def _points(self) -> dict[str, tuple[str, int, int, int]]:
+        now = trio.current_time()
+        told = {}
+        for group, state in self._state.leases.record.groups.items():
+            newest = self._state.points(group).newest
+            if isinstance(state, Leading) and newest is not None:
+                position = newest.position
+                age_ms = int((now - newest.at) * 1000) + 1
+                told[group] = (state.endpoint, position.term, position.index, age_ms)
+        return told
+
+    def _heard(self) -> list[str]:
+        """Return the endpoints that answered lately or are not silent."""
+        now = trio.current_time()
+        return [
+            row.name
+            for row in self._state.rows.values()
+            if row.unreachable_since is None and now - row.heard_at < HEARD_RECENT_S
+        ]
+
+    def _adopt(self, value: Any) -> None:
+        try:
+            record = record_from_json(value["record"], value["revision"])
+        except (KeyError, TypeError) as error:
+            raise BadRequestError(f"no record was told: {error!r}; run one version") from None
+        if self._state.leases.adopt(record):
+            self._state.log.change("record_adopted", revision=record.revision, source="box")
+            self._state.check_soon.set()
+            self._state.wake()
+
+    async def _stop(self, value: Any) -> dict[str, Any]:
+        """Stop using a group's old primary, letting writes end first if that is planned."""
+        self._adopt(value)
+        group = value.get("group")
+        moving = self._state.leases.record.groups.get(group)
+        if not isinstance(moving, Moving):
+            return {"stopped": False}
+        if moving.planned:
+            await self.quiet(group)
+        self._state.leases.give_word(group, moving.old.endpoint)
+        self._state.log.change("word_given", group=group, endpoint=moving.old.endpoint)
+        self._state.wake()
+        return {"stopped": True}
+
+    async def quiet(self, group: str) -> None:
+        """Wait until this box's writes in ``group`` have ended, for some time at most."""
+        with trio.move_on_after(QUIET_WAIT_S):
+            while not self._state.is_quiet(group):
+                await self._state.leadership_changed()
--- /dev/null
+++ b/wharftiller/daemons/sessions/callers.py
@@ -0,0 +1,111 @@
+"""Serve one caller's session from its first statement to its end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+import attrs
+import trio
+
+from wharftiller.core.sessions.session import Session
+
+if TYPE_CHECKING:
+    from wharftiller.core.sessions.statements import Reply, Statement
+    from wharftiller.daemons.sessions.state import SharedState
+    from wharftiller.daemons.sessions.statements import StatementRunner
+
+
+class CallerChannel(Protocol):
+    """A caller's connection, decoded."""
+
+    async def receive(self) -> Statement | None:
+        """Return the next statement, or None when the caller has left."""
+        ...
+
+    async def send(self, reply: Reply) -> None:
+        """Send the answer to the last statement."""
+        ...
+
+
+@attrs.define(eq=False)
+class _Served:
+    """A session being served and, while it waits for a statement, the scope to end that."""
+
+    session: Session
+    waiting: trio.CancelScope | None = None
+
+
+class SessionServer:
+    """Serves callers' sessions; can stop without cutting a request."""
+
+    def __init__(self, state: SharedState, runner: StatementRunner) -> None:
+        self._state = state
+        self._runner = runner
+        self._served: set[_Served] = set()
+        self._numbers = 0
+        self._closing_idle = False
+        self._closing_all = False
+
+    @property
+    def count(self) -> int:
+        """Sessions open."""
+        return len(self._served)
+
+    async def serve(self, channel: CallerChannel, database: str, caller: str) -> None:
+        """Serve one session until the caller leaves or this box stops."""
+        self._numbers += 1
+        served = _Served(Session(self._numbers, database, caller))
+        self._served.add(served)
+        try:
+            while (statement := await self._next(served, channel)) is not None:
+                reply = await self._runner.run(served.session, statement, trio.current_time())
+                await channel.send(reply)
+        finally:
+            self._served.discard(served)
+            self._runner.end_transaction(served.session)
+
+    async def _next(self, served: _Served, channel: CallerChannel) -> Statement | None:
+        """Return the next statement; None at the session's end."""
+        while not self._must_close(served):
+            with trio.CancelScope() as scope:
+                served.waiting = scope
+                scope.deadline = self._rest_until(served.session)
+                statement = await channel.receive()
+                served.waiting = None
+                return statement
+            served.waiting = None
+            self._end_rested(served.session)
+        return None
+
+    def _must_close(self, served: _Served) -> bool:
+        return self._closing_all or (self._closing_idle and served.session.transaction is None)
+
+    def _rest_until(self, session: Session) -> float:
+        """Return until when the session may rest, in seconds."""
+        transaction = session.transaction
+        if transaction is None or transaction.failed:
+            return float("inf")
+        return transaction.used_at + self._state.configuration.transaction_idle_s
+
+    def _end_rested(self, session: Session) -> None:
+        transaction = session.transaction
+        if transaction is None or transaction.failed:
+            return
+        if trio.current_time() >= self._rest_until(session):
+            self._state.log.event("transaction_rested_too_long", session=session.number)
+            self._runner.fail_transaction(session)
+
+    def close_idle(self) -> None:
+        """Close every session outside a transaction, now and from here on."""
+        self._closing_idle = True
+        self._cancel_waiting()
+
+    def close_all(self) -> None:
+        """Close every session at its next rest; open transactions are rolled back."""
+        self._closing_all = True
+        self._cancel_waiting()
+
+    def _cancel_waiting(self) -> None:
+        for served in self._served:
+            if served.waiting is not None and self._must_close(served):
+                served.waiting.cancel()
--- /dev/null
+++ b/wharftiller/daemons/sessions/pool.py
@@ -0,0 +1,288 @@
+"""Kept connections to one endpoint: shared by sessions, limited, opened when missed."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from wharftiller.core.errors import EndpointRefusedError, ExchangeError
+from wharftiller.core.sessions.statements import (
+    EndpointQuery,
+    PreparedStatement,
+    Reply,
+    ResetSession,
+    SessionState,
+    SetValue,
+)
+from wharftiller.core.sessions.statements import Prepare as PrepareName
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wharftiller.core.sessions.endpoints import EndpointRow
+    from wharftiller.core.sessions.session import Session
+    from wharftiller.daemons.sessions.seams import EndpointConnection, EndpointDialer
+
+OPEN_TIMEOUT_S = 0.7
+"""Time to open a connection, in seconds: a lost first packet is sent again after more."""
+
+REFUSED_PAUSE_S = 0.5
+"""Time without new connections after an endpoint said that it has too many, in seconds."""
+
+EXTRA_CONNECTIONS = 2
+"""Connections beyond the box's share that are opened when all are in use."""
+
+EXTRA_IDLE_S = 4.0
+"""Time after which an unused connection beyond the share is closed, in seconds."""
+
+PREPARED_KEPT = 200
+"""Prepared names kept on one connection before it is reset."""
+
+MAINTENANCE_S = 1.0
+"""Time between looks for connections to close, in seconds."""
+
+
+@attrs.define(eq=False)
+class PooledConnection:
+    """A connection and what is known to be set on it.
+
+    Attributes
+    ----------
+    via : str or None
+        Address of the box that it goes through.
+    """
+
+    number: int
+    pool: EndpointPool
+    link: EndpointConnection
+    via: str | None = None
+    values: dict[str, str] = attrs.field(factory=dict)
+    prepared: dict[PreparedStatement, str] = attrs.field(factory=dict)
+    idle_since: float = 0.0
+    broken: bool = False
+
+    async def ask(self, query: EndpointQuery) -> Reply:
+        """Run one statement; the connection is useless unless an answer comes.
+
+        Raises
+        ------
+        ExchangeError
+            If the connection breaks first.
+        """
+        row = self.pool.row
+        row.sent(self.number, trio.current_time())
+        done = False
+        try:
+            reply = await self.link.ask(query)
+            done = True
+        finally:
+            if not done:
+                self.broken = True
+                row.given_up(self.number, trio.current_time(), silent=True)
+        row.answered(self.number, trio.current_time(), reply.position)
+        return reply
+
+    async def take_on(
+        self, session: Session, needed: PreparedStatement | None, *, may_reset: bool = True
+    ) -> None:
+        """Give the connection the session's values and the prepared name that is needed.
+
+        Parameters
+        ----------
+        may_reset : bool
+            False inside a transaction, whose session can only have gained values.
+        """
+        extra = self.values.keys() - session.values.keys()
+        if may_reset and (extra or len(self.prepared) > PREPARED_KEPT):
+            await self._own(ResetSession())
+            self.values.clear()
+            self.prepared.clear()
+        for name, value in session.values.items():
+            if self.values.get(name) != value:
+                await self._own(SetValue(name, value))
+                self.values[name] = value
+        if needed is not None and needed not in self.prepared:
+            name = f"p{len(self.prepared) + 1}"
+            await self._own(PrepareName(name, needed))
+            self.prepared[needed] = name
+
+    async def _own(self, body: ResetSession | SetValue | PrepareName) -> None:
+        reply = await self.ask(EndpointQuery(body))
+        if reply.refusal is not None:
+            self.broken = True
+            raise ExchangeError(f"{self.pool.row.name} refused {body}: {reply.refusal}")
+
+    def close(self) -> None:
+        """Close it and give its place to another."""
+        self.broken = True
+        self.pool.release(self)
+
+    def release(self, state: SessionState = SessionState.IDLE) -> None:
+        """Give it back; closed unless it stands outside any transaction."""
+        if state is not SessionState.IDLE:
+            self.broken = True
+        self.pool.release(self)
+
+
+@attrs.define(eq=False)
+class _Waiter:
+    woken: trio.Event = attrs.field(factory=trio.Event)
+
+
+@attrs.define(eq=False)
+class EndpointPool:
+    """All of this box's connections to one endpoint.
+
+    Attributes
+    ----------
+    share : callable
+        Returns how many connections this box may keep to it.
+    """
+
+    row: EndpointRow
+    _dialer: EndpointDialer
+    share: Callable[[], int]
+    via: str | None = None
+    opened: int = 0
+    _numbers: itertools.count[int] = attrs.field(factory=lambda: itertools.count(1))
+    _idle: list[PooledConnection] = attrs.field(factory=list)
+    _all: set[PooledConnection] = attrs.field(factory=set)
+    _opening: int = 0
+    _waiters: list[tuple[int, int, _Waiter]] = attrs.field(factory=list)
+    _refused_until: float = 0.0
+
+    @property
+    def in_use(self) -> int:
+        """Statements and transactions on it, and those that wait for a connection."""
+        return len(self._all) - len(self._idle) + self._opening + len(self._waiters)
+
+    @property
+    def total(self) -> int:
+        """Connections open or opening."""
+        return len(self._all) + self._opening
+
+    async def acquire(self, session: Session, priority: int) -> PooledConnection:
+        """Return a connection for one session's use, waiting for one if need be.
+
+        Raises
+        ------
+        EndpointRefusedError
+            If the endpoint takes no connection and this box has none to it.
+        ExchangeError
+            If it cannot be reached.
+        """
+        while True:
+            self._drop_closed()
+            if self._idle:
+                return self._take_idle(session)
+            now = trio.current_time()
+            if self.total < self.share() + EXTRA_CONNECTIONS and now >= self._refused_until:
+                opened = await self._open()
+                if opened is not None:
+                    return opened
+            elif not self._all:
+                raise EndpointRefusedError(f"{self.row.name} has no free place", at_limit=True)
+            else:
+                await self._wait(priority)
+
+    def _drop_closed(self) -> None:
+        """Close idle connections that the endpoint has closed."""
+        for connection in [each for each in self._idle if not each.link.usable]:
+            self._idle.remove(connection)
+            self._all.discard(connection)
+            connection.link.close()
+
+    def _take_idle(self, session: Session) -> PooledConnection:
+        for connection in reversed(self._idle):
+            if connection.values == session.values:
+                break
+        else:
+            connection = self._idle[-1]
+        self._idle.remove(connection)
+        return connection
+
+    async def _wait(self, priority: int) -> None:
+        waiter = _Waiter()
+        entry = (priority, next(self._numbers), waiter)
+        heapq.heappush(self._waiters, entry)
+        try:
+            await waiter.woken.wait()
+        except trio.Cancelled:
+            if entry in self._waiters:
+                self._waiters.remove(entry)
+                heapq.heapify(self._waiters)
+            else:
+                self._wake_next()
+            raise
+
+    def _wake_next(self) -> None:
+        if self._waiters:
+            heapq.heappop(self._waiters)[2].woken.set()
+
+    async def _open(self) -> PooledConnection | None:
+        """Open a connection; None if the endpoint has too many and others may come free."""
+        self._opening += 1
+        started = trio.current_time()
+        try:
+            with trio.fail_after(OPEN_TIMEOUT_S):
+                link = await self._dialer.open(self.row.entry, self.via)
+        except trio.TooSlowError:
+            self.row.failed(started)
+            raise ExchangeError(f"{self.row.name} took no connection in time") from None
+        except EndpointRefusedError as error:
+            self._refused(error)
+            if error.at_limit and self._all:
+                return None
+            raise
+        except ExchangeError:
+            self.row.failed(started)
+            raise
+        finally:
+            self._opening -= 1
+            if not self._all:
+                self._wake_next()
+        self.opened += 1
+        self.row.heard(trio.current_time())
+        connection = PooledConnection(next(self._numbers), self, link, self.via)
+        self._all.add(connection)
+        return connection
+
+    def _refused(self, error: EndpointRefusedError) -> None:
+        if error.at_limit:
+            self._refused_until = trio.current_time() + REFUSED_PAUSE_S
+        else:
+            self.row.gone = True
+
+    def release(self, connection: PooledConnection) -> None:
+        """Take back a connection."""
+        if connection.broken:
+            if connection in self._all:
+                self._all.discard(connection)
+                connection.link.close()
+        elif connection in self._all:
+            connection.idle_since = trio.current_time()
+            self._idle.append(connection)
+        self._wake_next()
+
+    def trim(self, now: float) -> None:
+        """Close idle connections beyond the share that were not used lately."""
+        keep = 0 if self.row.gone else self.share()
+        for connection in list(self._idle):
+            if len(self._all) <= keep:
+                return
+            if self.row.gone or now - connection.idle_since > EXTRA_IDLE_S:
+                self._idle.remove(connection)
+                connection.close()
+
+    def drop_idle(self) -> None:
+        """Close every idle connection: the endpoint may not be what it was."""
+        for connection in self._idle:
+            connection.broken = True
+            self._all.discard(connection)
+            connection.link.close()
+        self._idle.clear()
+        self._wake_next()
--- /dev/null
+++ b/wharftiller/daemons/sessions/probes.py
@@ -0,0 +1,114 @@
+"""Ask endpoints for their state: those that fell silent, and primaries nobody asks."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from wharftiller.core.errors import EndpointRefusedError, ExchangeError
+from wharftiller.core.sessions.session import Session
+from wharftiller.core.sessions.statements import Demote, EndpointQuery
+
+if TYPE_CHECKING:
+    from wharftiller.core.sessions.endpoints import EndpointRow
+    from wharftiller.core.sessions.statements import EndpointStatus
+    from wharftiller.daemons.sessions.state import SharedState
+
+PROBE_S = 0.3
+"""Time between looks for endpoints to probe, in seconds."""
+
+STATUS_TIMEOUT_S = 0.6
+"""Time to open a connection and be told the state, in seconds."""
+
+QUIET_PRIMARY_S = 0.8
+"""A primary that has not been heard for so long is asked, in seconds."""
+
+PROBE_PRIORITY = 0
+"""Probes go before statements that wait for a connection."""
+
+PROBE_SESSION = Session(0, "", "probe")
+"""Probes need no session values."""
+
+
+class Prober:
+    """Keeps this box's view of endpoints that it does not use otherwise."""
+
+    def __init__(self, state: SharedState, nursery: trio.Nursery) -> None:
+        self._state = state
+        self._nursery = nursery
+        self._probing: set[str] = set()
+
+    async def run(self) -> None:
+        """Probe for ever."""
+        while True:
+            await trio.sleep(PROBE_S)
+            now = trio.current_time()
+            leads = {self._state.lead(group) for group in self._state.leases.record.groups}
+            for row in list(self._state.rows.values()):
+                quiet_lead = row.name in leads and now - row.heard_at > QUIET_PRIMARY_S
+                if row.gone or row.name in self._probing:
+                    continue
+                if row.is_suspect(now) or quiet_lead:
+                    self._probing.add(row.name)
+                    self._nursery.start_soon(self._probe, row)
+
+    async def _probe(self, row: EndpointRow) -> None:
+        before = row.unreachable_since
+        try:
+            await self.status(row)
+        except (ExchangeError, EndpointRefusedError) as error:
+            if before is None:
+                self._state.log.event("endpoint_silent", endpoint=row.name, why=str(error))
+        else:
+            if before is not None:
+                self._state.log.change("endpoint_answers", endpoint=row.name)
+                self._state.wake()
+        finally:
+            self._probing.discard(row.name)
+
+    async def status(self, row: EndpointRow) -> EndpointStatus | None:
+        """Return the endpoint's state; None if it is too busy to tell.
+
+        Raises
+        ------
+        ExchangeError
+            If it does not answer in time.
+        EndpointRefusedError
+            If it takes no connection.
+        """
+        started = trio.current_time()
+        pool = self._state.pool(row)
+        if row.is_suspect(started):
+            pool.drop_idle()
+        with trio.move_on_after(STATUS_TIMEOUT_S):
+            connection = await pool.acquire(PROBE_SESSION, PROBE_PRIORITY)
+            try:
+                status = await connection.link.status()
+            except BaseException:
+                connection.close()
+                raise
+            connection.release()
+            row.heard(trio.current_time())
+            return status
+        row.failed(started)
+        raise ExchangeError(f"{row.name} told no state within {STATUS_TIMEOUT_S} s")
+
+    def demote_soon(self, endpoint: str, term: int) -> None:
+        """Tell a former primary that another leads, if it can be reached."""
+        self._nursery.start_soon(self._demote, endpoint, term)
+
+    async def _demote(self, endpoint: str, term: int) -> None:
+        row = self._state.rows.get(endpoint)
+        if row is None or row.gone:
+            return
+        try:
+            with trio.move_on_after(STATUS_TIMEOUT_S):
+                connection = await self._state.pool(row).acquire(PROBE_SESSION, PROBE_PRIORITY)
+                try:
+                    await connection.ask(EndpointQuery(Demote(term)))
+                finally:
+                    connection.release()
+                self._state.log.change("old_primary_demoted", endpoint=endpoint, term=term)
+        except (ExchangeError, EndpointRefusedError) as error:
+            self._state.log.event("demote_failed", endpoint=endpoint, why=str(error))
--- /dev/null
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -0,0 +1,256 @@
+"""The session proxy: one process a box that serves sessions and replaces primaries."""
+
+from __future__ import annotations
+
+import secrets
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import trio
+
+from wharftiller.core.errors import PlatformUnavailableError
+from wharftiller.core.sessions.routes import EndpointEntry
+from wharftiller.daemons.sessions.boxes import ROUND_S, Box, BoxDirectory, BoxServer
+from wharftiller.daemons.sessions.callers import SessionServer
+from wharftiller.daemons.sessions.mover import PrimaryMover
+from wharftiller.daemons.sessions.pool import MAINTENANCE_S
+from wharftiller.daemons.sessions.probes import Prober
+from wharftiller.daemons.sessions.state import SharedState
+from wharftiller.daemons.sessions.statements import StatementRunner
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wharftiller.core.sessions.routes import SessionConfiguration
+    from wharftiller.daemons.sessions.seams import EndpointDialer, Promotions, SharedObjects
+    from wharftiller.decisions import DecisionLog
+    from wharftiller.edges.http_server import HttpRequest, HttpResponse
+    from wharftiller.edges.transport import Transport
+
+SHARED_READ_S = 5.0
+"""Time between reads of the shared objects while rounds renew the leases, in seconds.
+
+Must stay well below the age that a round allows the list of boxes (12 s).
+"""
+
+LEARN_AGAIN_S = 0.5
+"""Time between questions to neighbours while nothing is configured, in seconds."""
+
+BALANCER_SEES_S = 2.3
+"""Time until the balancer has taken an unready box out, in seconds: two missed looks, 1 s apart."""
+
+LAST_MOMENT_S = 0.5
+"""Time kept before the platform kills a stopping process, in seconds."""
+
+DRAIN_LOOK_S = 0.05
+"""Time between looks at whether all sessions have ended, in seconds."""
+
+
+@attrs.frozen
+class BoxIdentity:
+    """Who this box is.
+
+    Attributes
+    ----------
+    address : str
+        Where other boxes reach it.
+    seeds : tuple of str
+        Addresses of boxes that may be asked at a start.
+    grace_s : float
+        Time between being told to stop and being killed, in seconds.
+    """
+
+    name: str
+    data_centre: str
+    address: str
+    seeds: tuple[str, ...]
+    grace_s: float
+
+
+class SessionProxy:
+    """One session proxy.
+
+    Parameters
+    ----------
+    decode_configuration : callable
+        Turns a configuration's document into the configuration.
+    """
+
+    def __init__(
+        self,
+        identity: BoxIdentity,
+        transport: Transport,
+        dialer: EndpointDialer,
+        shared: SharedObjects,
+        promotions: Promotions,
+        log: DecisionLog,
+        decode_configuration: Callable[[Any], SessionConfiguration],
+        nursery: trio.Nursery,
+    ) -> None:
+        self._identity = identity
+        self._shared = shared
+        self._log = log
+        self._decode_configuration = decode_configuration
+        self._nursery = nursery
+        incarnation = f"{identity.name}/{secrets.token_hex(6)}"
+        self._box = Box(identity.name, identity.address, incarnation, identity.data_centre)
+        self.state = SharedState(identity.name, identity.data_centre, dialer, log, nursery)
+        self.sessions = SessionServer(self.state, StatementRunner(self.state))
+        self._directory = BoxDirectory(self.state, transport, incarnation)
+        self._box_server = BoxServer(self.state, incarnation, self._known)
+        self._prober = Prober(self.state, nursery)
+        self._mover = PrimaryMover(
+            self.state,
+            self._directory,
+            self._box_server,
+            shared,
+            promotions,
+            self._prober,
+            incarnation,
+        )
+        self._platform_answers: bool | None = None
+        self._unready = False
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new sessions should come to this box."""
+        return not self._unready and self.state.version > 0 and bool(self.state.rows)
+
+    def start(self) -> None:
+        """Start every task."""
+        for task in (
+            self._check_for_ever,
+            self._learn_from_neighbours,
+            self._maintain_for_ever,
+            self._prober.run,
+            self._mover.run,
+            self._log.flush_for_ever,
+        ):
+            self._nursery.start_soon(task)
+
+    async def handle_box(self, request: HttpRequest) -> HttpResponse:
+        """Answer another box's question."""
+        return await self._box_server.handle(request)
+
+    # Leases, the list of boxes and the record ---------------------------
+
+    async def _check_for_ever(self) -> None:
+        read_at = -SHARED_READ_S
+        while True:
+            self.state.check_soon = trio.Event()
+            renewed = False
+            now = trio.current_time()
+            if now - read_at >= SHARED_READ_S or not self._directory.boxes:
+                read_at = now
+                renewed = await self._read_shared()
+            elif not await self._directory.round():
+                read_at = now
+                await self._read_shared()
+            self._learn_newer()
+            with trio.move_on_after(ROUND_S):
+                await self.state.check_soon.wait()
+
+    async def _read_shared(self) -> bool:
+        asked_at = trio.current_time()
+        try:
+            listing = await self._shared.read()
+            own = listing.boxes.get(self._box.name)
+            if own != self._box:
+                await self._shared.register(self._box)
+        except PlatformUnavailableError as error:
+            self._platform_answered(False, str(error))
+            if self._directory.boxes:
+                await self._directory.round()
+            return False
+        self._platform_answered(True)
+        others = {n: box for n, box in listing.boxes.items() if n != self._box.name}
+        self._directory.take_list(others)
+        self.state.leases.listed(others, asked_at)
+        if own == self._box and self._mover.listed_since is None:
+            self._mover.listed_since = asked_at
+        before = self.state.leases.record
+        self.state.leases.read(listing.record, asked_at)
+        if self.state.leases.record.revision != before.revision:
+            record = self.state.leases.record
+            self._log.change("record_adopted", revision=record.revision, source="platform")
+        self.state.wake()
+        return True
+
+    def _platform_answered(self, answers: bool, why: str = "") -> None:
+        if self._platform_answers != answers:
+            self._platform_answers = answers
+            self._log.change("platform_back" if answers else "platform_lost", why=why)
+
+    # Learning from other boxes ------------------------------------------
+
+    def _known(self) -> dict[str, Any]:
+        rows = self.state.rows.values()
+        return {
+            "configuration": self.state.configuration.document,
+            "endpoints": [attrs.asdict(row.entry) for row in rows if not row.gone],
+        }
+
+    async def _learn_from_neighbours(self) -> None:
+        """Ask the seeds while this box knows no configuration, as when the platform is away."""
+        await trio.sleep(LEARN_AGAIN_S)
+        while self.state.version == 0 or not self.state.rows:
+            for address in self._identity.seeds:
+                if address != self._identity.address:
+                    await self._learn_from(address)
+            await trio.sleep(LEARN_AGAIN_S)
+
+    async def _learn_from(self, address: str) -> None:
+        known = await self._directory.fetch_known(address)
+        if known is None or known.get("configuration") is None:
+            return
+        try:
+            configuration = self._decode_configuration(known["configuration"])
+            entries = [EndpointEntry(**each) for each in known["endpoints"]]
+        except (KeyError, TypeError, ValueError) as error:
+            self._log.event("neighbour_not_understood", other=address, why=repr(error))
+            return
+        self.state.take_configuration(configuration, f"box {address}")
+        if not self.state.rows:
+            self.state.take_endpoints(entries)
+
+    def _learn_newer(self) -> None:
+        """Fetch the configuration from a box that has a newer one."""
+        newest = max(
+            self._directory.replies.items(), key=lambda item: item[1].version, default=None
+        )
+        if newest is None or newest[1].version <= self.state.version:
+            return
+        box = self._directory.boxes.get(newest[0])
+        if box is not None:
+            self._nursery.start_soon(self._learn_from, box.address)
+
+    # Maintenance and stopping -------------------------------------------
+
+    async def _maintain_for_ever(self) -> None:
+        while True:
+            await trio.sleep(MAINTENANCE_S)
+            now = trio.current_time()
+            for pool in self.state.pools.values():
+                pool.trim(now)
+
+    async def stop(self) -> None:
+        """Turn unready, let sessions end, then return; never cuts a request."""
+        started = trio.current_time()
+        self._unready = True
+        self._log.change("stopping", sessions=self.sessions.count)
+        await trio.sleep(BALANCER_SEES_S)
+        self.sessions.close_idle()
+        await self._until_ended(started + self._identity.grace_s / 2)
+        self.sessions.close_all()
+        await self._until_ended(started + self._identity.grace_s - LAST_MOMENT_S)
+        self._log.change("stopped", sessions=self.sessions.count)
+        with trio.move_on_after(LAST_MOMENT_S / 2):
+            try:
+                await self._shared.withdraw(self._box)
+            except PlatformUnavailableError as error:
+                self._log.event("not_withdrawn", why=str(error))
+        self._log.flush()
+
+    async def _until_ended(self, until: float) -> None:
+        while self.sessions.count and trio.current_time() < until:
+            await trio.sleep(DRAIN_LOOK_S)
--- /dev/null
+++ b/wharftiller/daemons/sessions/seams.py
@@ -0,0 +1,110 @@
+"""What the session proxy needs of the outside, to be met by an adapter."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+import attrs
+
+if TYPE_CHECKING:
+    from wharftiller.core.leadership.record import LeadershipRecord
+    from wharftiller.core.sessions.routes import EndpointEntry
+    from wharftiller.core.sessions.statements import EndpointQuery, EndpointStatus, Reply
+    from wharftiller.daemons.sessions.boxes import Box
+
+
+class EndpointConnection(Protocol):
+    """A connection to an endpoint; one statement at a time."""
+
+    @property
+    def usable(self) -> bool:
+        """Whether nothing unexpected has come on it; the endpoint may have closed it."""
+        ...
+
+    async def ask(self, query: EndpointQuery) -> Reply:
+        """Run one statement.
+
+        Raises
+        ------
+        ExchangeError
+            If the connection broke or the answer was not understood.
+        """
+        ...
+
+    async def status(self) -> EndpointStatus | None:
+        """Return the endpoint's state, or None if it is too busy to tell."""
+        ...
+
+    def close(self) -> None:
+        """Close at once; the endpoint rolls back what is open."""
+        ...
+
+
+class EndpointDialer(Protocol):
+    """Opens connections to endpoints."""
+
+    async def open(self, entry: EndpointEntry, via: str | None = None) -> EndpointConnection:
+        """Open a connection, through the box at ``via`` if given.
+
+        Raises
+        ------
+        EndpointRefusedError
+            If the endpoint answers but does not take the connection.
+        ExchangeError
+            If it cannot be reached.
+        """
+        ...
+
+
+@attrs.frozen
+class SharedListing:
+    """What boxes share through the platform, read at once.
+
+    Attributes
+    ----------
+    record : LeadershipRecord
+        Revision 0 if there is none yet.
+    boxes : dict of str to Box
+        Every registered box, this one included.
+    """
+
+    record: LeadershipRecord
+    boxes: dict[str, Box]
+
+
+class SharedObjects(Protocol):
+    """Where boxes keep the record of leadership and the list of boxes.
+
+    Every method raises `PlatformUnavailableError` if no answer came; a change
+    may still take effect then.
+    """
+
+    async def read(self) -> SharedListing:
+        """Read everything as it stands now."""
+        ...
+
+    async def register(self, box: Box) -> None:
+        """Put ``box`` into the list, or its new process in its place."""
+        ...
+
+    async def withdraw(self, box: Box) -> None:
+        """Take ``box`` out of the list."""
+        ...
+
+    async def replace_record(self, record: LeadershipRecord) -> LeadershipRecord:
+        """Replace the record of ``record.revision``; return what stands there afterwards."""
+        ...
+
+
+class Promotions(Protocol):
+    """Orders promotions."""
+
+    async def promote(self, group: str, endpoint: str, holder: str, fence: int) -> bool:
+        """Have ``endpoint`` take over ``group``; False if it is not running.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If no answer came; the promotion may still take effect.
+        """
+        ...
--- /dev/null
+++ b/wharftiller/daemons/sessions/state.py
@@ -0,0 +1,283 @@
+"""What all tasks of a session proxy share: endpoints, pools, leases, fresh points."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from wharftiller.core.freshness import FreshPoint, FreshPoints
+from wharftiller.core.leadership.lease import LeaseTable
+from wharftiller.core.leadership.record import Leading, Moving
+from wharftiller.core.sessions.endpoints import EndpointRow
+from wharftiller.core.sessions.routes import EndpointEntry, SessionConfiguration
+from wharftiller.core.sessions.shares import connection_share
+from wharftiller.core.sessions.statements import EndpointQuery, RefusalKind, Rollback
+from wharftiller.daemons.sessions.pool import EndpointPool
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from wharftiller.core.positions import LogPosition
+    from wharftiller.core.sessions.session import Session
+    from wharftiller.core.sessions.statements import Refusal, Reply, Statement
+    from wharftiller.daemons.sessions.pool import PooledConnection
+    from wharftiller.daemons.sessions.seams import EndpointDialer
+    from wharftiller.decisions import DecisionLog
+
+ROLL_BACK_TIMEOUT_S = 1.0
+"""Time to roll a transaction back before its connection is closed instead, in seconds."""
+
+PRIMARY_EXPECTED_S = 2.5
+"""How long after a primary fell silent another is still expected soon, in seconds.
+
+Detection (1.2 s), every box's word and the promotion itself (0.3 to 0.6 s).
+"""
+
+
+@attrs.define
+class _GroupActivity:
+    """Writes and writing transactions of this box that are under way in a group."""
+
+    writes: int = 0
+    transactions: int = 0
+
+
+class SharedState:
+    """The state of one session proxy.
+
+    Parameters
+    ----------
+    box, data_centre : str
+        This box's name and where it stands.
+    """
+
+    def __init__(
+        self,
+        box: str,
+        data_centre: str,
+        dialer: EndpointDialer,
+        log: DecisionLog,
+        nursery: trio.Nursery,
+    ) -> None:
+        self._dialer = dialer
+        self._nursery = nursery
+        self._points: dict[str, tuple[str, FreshPoints]] = {}
+        self._activity: dict[str, _GroupActivity] = collections.defaultdict(_GroupActivity)
+        self._changed = trio.Event()
+        self.box = box
+        self.data_centre = data_centre
+        self.log = log
+        self.configuration = SessionConfiguration()
+        self.leases = LeaseTable()
+        self.rows: dict[str, EndpointRow] = {}
+        self.pools: dict[str, EndpointPool] = {}
+        self.check_soon = trio.Event()
+        self.counters: collections.Counter[str] = collections.Counter()
+
+    # Configuration and endpoints ----------------------------------------
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force."""
+        return self.configuration.version
+
+    def take_configuration(self, configuration: SessionConfiguration, source: str) -> bool:
+        """Put a newer configuration in force; an older one is passed over."""
+        if configuration.version <= self.configuration.version:
+            return False
+        old, self.configuration = self.configuration.version, configuration
+        self.log.change("configuration_in_force", version=configuration.version, old=old, source=source)
+        self.wake()
+        return True
+
+    def take_endpoints(self, entries: Iterable[EndpointEntry]) -> None:
+        """Take in the whole list of registered endpoints."""
+        listed = {entry.name: entry for entry in entries}
+        for name, entry in listed.items():
+            self._take_entry(name, entry)
+        for name, row in self.rows.items():
+            if name not in listed and not row.gone:
+                row.gone = True
+                self.log.change("endpoint_gone", endpoint=name, group=row.entry.group)
+        self.wake()
+
+    def _take_entry(self, name: str, entry: EndpointEntry) -> None:
+        row = self.rows.get(name)
+        if row is None:
+            row = self.rows[name] = EndpointRow(entry)
+            share = self._share_of(row)
+            self.pools[name] = EndpointPool(row, self._dialer, share)
+            self.log.change("endpoint_found", endpoint=name, group=entry.group, leads=entry.leads)
+        row.entry = entry
+        row.gone = False
+        if entry.leaving and row.leaving_since is None:
+            row.leaving_since = trio.current_time()
+            self.log.change("endpoint_leaving", endpoint=name, group=entry.group)
+        elif not entry.leaving:
+            row.leaving_since = None
+
+    def _share_of(self, row: EndpointRow):  # type: ignore[no-untyped-def]
+        def share() -> int:
+            limits = self.configuration.groups.get(row.entry.group)
+            most = limits.max_connections if limits is not None else 1
+            return connection_share(most, len(self.leases.boxes) + 1)
+
+        return share
+
+    def rows_of(self, group: str) -> list[EndpointRow]:
+        """Return the endpoints of ``group`` that are registered."""
+        return [row for row in self.rows.values() if row.entry.group == group and not row.gone]
+
+    def pool(self, row: EndpointRow) -> EndpointPool:
+        """Return the connections to an endpoint."""
+        return self.pools[row.name]
+
+    def busy(self, group: str) -> dict[str, int]:
+        """Return this box's statements per endpoint of ``group``, running or waiting."""
+        return {row.name: self.pools[row.name].in_use for row in self.rows_of(group)}
+
+    # Leadership ---------------------------------------------------------
+
+    def lead(self, group: str) -> str | None:
+        """Return the primary that the record names, even while it is being replaced."""
+        match self.leases.record.groups.get(group):
+            case Leading(endpoint):
+                return endpoint
+            case Moving(old):
+                return old.endpoint
+            case _:
+                return None
+
+    def startable(self, group: str) -> EndpointRow | None:
+        """Return the primary that new writes and primary reads may be sent to now."""
+        lease = self.leases.may_start(group, trio.current_time())
+        row = self.rows.get(lease.endpoint) if lease is not None else None
+        if row is None or row.gone or not row.may_still_lead(trio.current_time()):
+            return None
+        return row
+
+    def may_acknowledge(self, row: EndpointRow) -> bool:
+        """Return whether ``row`` surely is the only primary of its group now."""
+        return self.leases.may_acknowledge(row.entry.group, row.name, trio.current_time())
+
+    async def confirmed(self, row: EndpointRow, timeout_s: float) -> bool:
+        """Wait until a check shows that ``row`` still leads; False if none does in time."""
+        self.check_soon.set()
+        with trio.move_on_after(timeout_s):
+            while not self.may_acknowledge(row):
+                lease = self.leases.last_lease(row.entry.group)
+                if lease is None or lease.endpoint != row.name or lease.given_up:
+                    return False
+                await self.leadership_changed()
+            return True
+        return False
+
+    def primary_expected(self, group: str) -> bool:
+        """Return whether a usable primary may be known soon."""
+        state = self.leases.record.groups.get(group)
+        if not isinstance(state, Leading):
+            return True
+        if self.leases.lease(group, trio.current_time()) is None:
+            return True
+        row = self.rows.get(state.endpoint)
+        if row is None or row.unreachable_since is None:
+            return True
+        return trio.current_time() - row.unreachable_since < PRIMARY_EXPECTED_S
+
+    def way_to(self, row: EndpointRow) -> str | None:
+        """Return the address of a box through which ``row`` is reached, if one is known."""
+        return self.pools[row.name].via
+
+    async def leadership_changed(self) -> None:
+        """Wait until something about endpoints, leases or the configuration changes."""
+        await self._changed.wait()
+
+    def wake(self) -> None:
+        """Wake everyone who waits for a change."""
+        self._changed.set()
+        self._changed = trio.Event()
+
+    # Fresh points -------------------------------------------------------
+
+    def points(self, group: str) -> FreshPoints:
+        """Return the log positions known of ``group``'s present primary."""
+        lead = self.lead(group) or ""
+        known = self._points.get(group)
+        if known is None or known[0] != lead:
+            known = self._points[group] = (lead, FreshPoints())
+        return known[1]
+
+    def learn_point(self, row: EndpointRow, position: LogPosition | None, asked_at: float) -> None:
+        """Note the primary's log position in an answer to what was asked at ``asked_at``."""
+        if position is not None and self.may_acknowledge(row):
+            self.points(row.entry.group).add(FreshPoint(asked_at, position))
+
+    def learn_refusal(
+        self, row: EndpointRow, refusal: Refusal, after: LogPosition | None
+    ) -> None:
+        """Note what an endpoint's refusal tells of it."""
+        self.counters[f"endpoint_refused.{refusal.kind.value}"] += 1
+        match refusal.kind:
+            case RefusalKind.REPLICA_BEHIND if after is not None:
+                row.refused_as_behind(after, trio.current_time())
+            case RefusalKind.NOT_PRIMARY:
+                self.check_soon.set()
+            case _:
+                pass
+
+    # Work under way -----------------------------------------------------
+
+    def transaction_began(self, group: str) -> None:
+        """Count a transaction of this box."""
+        self._activity[group].transactions += 1
+
+    def transaction_ended(self, group: str) -> None:
+        """Count a transaction's end."""
+        self._activity[group].transactions -= 1
+        self.wake()
+
+    def write_began(self, group: str) -> None:
+        """Count a single write of this box."""
+        self._activity[group].writes += 1
+
+    def write_ended(self, group: str) -> None:
+        """Count a single write's end."""
+        self._activity[group].writes -= 1
+        self.wake()
+
+    def is_quiet(self, group: str) -> bool:
+        """Return whether no write or transaction of this box is under way in ``group``."""
+        activity = self._activity[group]
+        return activity.writes == 0 and activity.transactions == 0
+
+    def roll_back(self, connection: PooledConnection) -> None:
+        """Roll back in the background, then give the connection back."""
+        self._nursery.start_soon(self._roll_back, connection)
+
+    async def _roll_back(self, connection: PooledConnection) -> None:
+        with trio.move_on_after(ROLL_BACK_TIMEOUT_S):
+            try:
+                reply = await connection.ask(EndpointQuery(Rollback()))
+            except Exception as error:  # noqa: BLE001 - the connection is closed below
+                self.log.event("rollback_failed", endpoint=connection.pool.row.name, why=str(error))
+            else:
+                connection.release(reply.state)
+                return
+        connection.close()
+
+    # Notes --------------------------------------------------------------
+
+    def note(self, session: Session, statement: Statement, reply: Reply, arrived_at: float) -> None:
+        """Log and count how a statement ended."""
+        took_s = trio.current_time() - arrived_at
+        self.log.answered(session, statement, reply, took_s, self.version)
+
+    def log_passed_over(self, row: EndpointRow, statement: Statement, why: str) -> None:
+        """Log that an endpoint was asked and did not serve."""
+        self.counters["endpoint_passed_over"] += 1
+        self.log.event(
+            "endpoint_passed_over", request=statement.request_id, endpoint=row.name, why=why
+        )
--- /dev/null
+++ b/wharftiller/decisions.py
@@ -0,0 +1,140 @@
+"""Structured logs of decisions: JSON lines on standard output, bounded, never blocking.
+
+Lines gather in a bounded buffer that a task empties. Everything out of the
+ordinary is written up to `PER_KIND_PER_S` lines a second and kind; ordinary
+answers are sampled by a hash of the request's id, so that every box samples the
+same requests. What was left out is counted and told.
+"""
+
+from __future__ import annotations
+
+import collections
+import logging
+import os
+import sys
+import time
+import zlib
+from typing import TYPE_CHECKING, Any
+
+import trio
+from pythonjsonlogger.json import JsonFormatter
+
+from wharftiller.core.sessions.statements import RefusalKind
+
+if TYPE_CHECKING:
+    from wharftiller.core.sessions.session import Session
+    from wharftiller.core.sessions.statements import Reply, Statement
+
+BUFFER_LINES = 2_000
+"""Lines kept while standard output takes none: some 500 kB."""
+
+PER_KIND_PER_S = 50
+"""Lines of one kind a second; a second of one box's busiest day has some 60 statements."""
+
+SAMPLED_OF = 64
+"""One in so many ordinary answers is logged."""
+
+PENDING_BYTES = 500_000
+"""Bytes kept that standard output has not taken yet."""
+
+FLUSH_S = 0.5
+"""Time between writes to standard output, in seconds."""
+
+SLOW_S = 0.5
+"""An answer that took longer is always logged, in seconds."""
+
+
+class DecisionLog:
+    """The log of one process."""
+
+    def __init__(self, part: str, box: str) -> None:
+        self._part = part
+        self._box = box
+        self._lines: collections.deque[str] = collections.deque(maxlen=BUFFER_LINES)
+        self._formatter = JsonFormatter("{message}", style="{", rename_fields={"message": "event"})
+        self._pending = b""
+        self._window = 0
+        self._written: collections.Counter[str] = collections.Counter()
+        self._left_out: collections.Counter[str] = collections.Counter()
+
+    def change(self, event: str, **fields: Any) -> None:
+        """Log something that changes what the process believes; never left out."""
+        self._write(event, fields)
+
+    def event(self, event: str, **fields: Any) -> None:
+        """Log something out of the ordinary, up to the rate of its kind."""
+        window = int(trio.current_time())
+        if window != self._window:
+            self._window = window
+            self._written.clear()
+            self._tell_left_out()
+        self._written[event] += 1
+        if self._written[event] > PER_KIND_PER_S:
+            self._left_out[event] += 1
+            return
+        self._write(event, fields)
+
+    def answered(
+        self, session: Session, statement: Statement, reply: Reply, took_s: float, version: int
+    ) -> None:
+        """Log how a statement ended, if it is out of the ordinary or sampled."""
+        refusal = reply.refusal
+        if refusal is None and took_s < SLOW_S and not _sampled(statement.request_id):
+            return
+        fields: dict[str, Any] = {
+            "request": statement.request_id,
+            "session": session.number,
+            "database": session.database,
+            "body": type(statement.body).__name__,
+            "took_ms": round(took_s * 1000),
+            "version": version,
+            "state": reply.state.value,
+        }
+        if reply.position is not None:
+            fields["position"] = str(reply.position)
+        if refusal is None:
+            self.event("answered", **fields)
+            return
+        kind = "unsettled" if refusal.kind is RefusalKind.OUTCOME_UNKNOWN else "refused"
+        self.event(kind, **fields, reason=refusal.kind.value, detail=refusal.detail)
+
+    def _tell_left_out(self) -> None:
+        if self._left_out:
+            left_out = dict(self._left_out)
+            self._left_out.clear()
+            self._write("lines_left_out", {"counts": left_out})
+
+    def _write(self, event: str, fields: dict[str, Any]) -> None:
+        if len(self._lines) == BUFFER_LINES:
+            self._left_out["buffer_full"] += 1
+        record = logging.LogRecord(self._part, logging.INFO, "", 0, event, None, None)
+        now = time.time()
+        record.__dict__.update(fields, at=round(now, 4), part=self._part, box=self._box)
+        self._lines.append(self._formatter.format(record))
+
+    async def flush_for_ever(self) -> None:
+        """Write the lines out as standard output takes them."""
+        while True:
+            self.flush()
+            await trio.sleep(FLUSH_S)
+
+    def flush(self) -> None:
+        """Write what standard output takes at once; keep the rest."""
+        if self._lines:
+            self._pending += ("\n".join(self._lines) + "\n").encode()
+            self._lines.clear()
+        if not self._pending:
+            return
+        try:
+            written = os.write(sys.stdout.fileno(), self._pending)
+        except BlockingIOError:
+            written = 0
+        self._pending = self._pending[written:]
+        if len(self._pending) > PENDING_BYTES:
+            cut = self._pending.rfind(b"\n", 0, PENDING_BYTES) + 1
+            self._left_out["output_blocked_bytes"] += len(self._pending) - cut
+            self._pending = self._pending[:cut]
+
+
+def _sampled(request_id: str) -> bool:
+    return zlib.crc32(request_id.encode()) % SAMPLED_OF == 0
--- /dev/null
+++ b/wharftiller/edges/leadership_json.py
@@ -0,0 +1,64 @@
+"""The record of leadership and log positions as JSON, for the platform and between boxes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from wharftiller.core.errors import BadRequestError
+from wharftiller.core.leadership.record import Leading, LeadershipRecord, Moving
+
+if TYPE_CHECKING:
+    from wharftiller.core.leadership.record import GroupLeadership
+
+
+def record_to_json(record: LeadershipRecord) -> dict[str, Any]:
+    """Return the record as plain JSON, without its revision."""
+    return {
+        "fence": record.fence,
+        "holder": record.holder,
+        "attempt": record.attempt,
+        "groups": {name: _group_to_json(state) for name, state in record.groups.items()},
+    }
+
+
+def _group_to_json(state: GroupLeadership) -> dict[str, Any]:
+    match state:
+        case Leading(endpoint, term):
+            return {"endpoint": endpoint, "term": term}
+        case Moving(old, successor, planned):
+            return {
+                "endpoint": old.endpoint,
+                "term": old.term,
+                "successor": successor,
+                "planned": planned,
+            }
+
+
+def record_from_json(value: Any, revision: int) -> LeadershipRecord:
+    """Return the record that ``value`` holds.
+
+    Raises
+    ------
+    BadRequestError
+        If it is not such a record.
+    """
+    try:
+        groups = {str(name): _group_from_json(each) for name, each in value["groups"].items()}
+        return LeadershipRecord(
+            int(revision),
+            int(value["fence"]),
+            str(value["holder"]),
+            str(value["attempt"]),
+            groups,
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise BadRequestError(
+            f"no record of leadership: {error!r}. Delete the object; boxes write it anew"
+        ) from None
+
+
+def _group_from_json(value: Any) -> GroupLeadership:
+    old = Leading(str(value["endpoint"]), int(value["term"]))
+    if "successor" not in value:
+        return old
+    return Moving(old, str(value["successor"]), bool(value["planned"]))
--- /dev/null
+++ b/wharftiller/platform/callers.py
@@ -0,0 +1,99 @@
+"""Callers' connections over the platform's line protocol."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from wharftiller.core.errors import BadRequestError, BodyTooLargeError
+from wharftiller.core.sessions.statements import Refusal, RefusalKind, Reply, SessionState
+from wharftiller.platform.wire import (
+    LineReader,
+    encode_refusal,
+    encode_reply,
+    parse_statement,
+)
+
+if TYPE_CHECKING:
+    from wharftiller.core.sessions.statements import Statement
+    from wharftiller.daemons.sessions.proxy import SessionProxy
+
+GREETING_TIMEOUT_S = 5.0
+"""Time a caller may take to name its database, in seconds."""
+
+CONFIGURATION_WAIT_S = 1.5
+"""Time a new session waits for the first configuration, in seconds: callers wait 2 s."""
+
+
+class LineChannel:
+    """One caller's connection, decoded."""
+
+    def __init__(self, stream: trio.abc.Stream, reader: LineReader) -> None:
+        self._stream = stream
+        self._reader = reader
+
+    async def receive(self) -> Statement | None:
+        """Return the next statement; a line that is none is answered here."""
+        while True:
+            line = await self._reader.line()
+            if line is None or line == b"RELEASE":
+                return None
+            try:
+                return parse_statement(line)
+            except (BadRequestError, UnicodeDecodeError) as error:
+                refusal = Refusal(RefusalKind.MALFORMED, str(error))
+                await self.send(Reply(SessionState.IDLE, refusal=refusal))
+
+    async def send(self, reply: Reply) -> None:
+        """Send the answer to the last statement."""
+        await self._stream.send_all(encode_reply(reply))
+
+
+class CallerServer:
+    """Serves callers' connections."""
+
+    def __init__(self, proxy: SessionProxy) -> None:
+        self._proxy = proxy
+
+    async def serve(self, stream: trio.abc.Stream) -> None:
+        """Serve one connection until either side ends it."""
+        reader = LineReader(stream)
+        try:
+            await self._serve(stream, reader)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+        except BodyTooLargeError as error:
+            await self._refuse(stream, RefusalKind.TOO_LARGE, str(error))
+
+    async def _serve(self, stream: trio.abc.Stream, reader: LineReader) -> None:
+        line: bytes | None = None
+        with trio.move_on_after(GREETING_TIMEOUT_S):
+            line = await reader.line()
+        if line is None:
+            return
+        words = line.split()
+        if len(words) < 3 or words[0] != b"CONNECT":
+            await self._refuse(stream, RefusalKind.MALFORMED, "send CONNECT, a database and a name")
+            return
+        database, caller = words[1].decode(errors="replace"), words[2].decode(errors="replace")
+        if not await self._has_route(database):
+            detail = f"no route leads to {database}; check the name"
+            await self._refuse(stream, RefusalKind.UNKNOWN_DATABASE, detail)
+            return
+        await stream.send_all(b"READY I -\r\n")
+        await self._proxy.sessions.serve(LineChannel(stream, reader), database, caller)
+
+    async def _has_route(self, database: str) -> bool:
+        state = self._proxy.state
+        with trio.move_on_after(CONFIGURATION_WAIT_S):
+            while state.version == 0:
+                await state.leadership_changed()
+        return database in state.configuration.routes
+
+    @staticmethod
+    async def _refuse(stream: trio.abc.Stream, kind: RefusalKind, detail: str) -> None:
+        try:
+            await stream.send_all(encode_refusal(Refusal(kind, detail)))
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
--- /dev/null
+++ b/wharftiller/platform/endpoints.py
@@ -0,0 +1,106 @@
+"""Connections to endpoints over the platform's line protocol."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from wharftiller.core.errors import EndpointRefusedError, ExchangeError
+from wharftiller.core.sessions.statements import AskStatus, EndpointQuery, RefusalKind
+from wharftiller.platform.wire import (
+    LineReader,
+    encode_query,
+    parse_refusal,
+    parse_status,
+    read_reply,
+)
+
+if TYPE_CHECKING:
+    from wharftiller.core.sessions.routes import EndpointEntry
+    from wharftiller.core.sessions.statements import EndpointStatus, Reply
+    from wharftiller.edges.transport import Transport
+
+
+class LineConnection:
+    """A connection to an endpoint."""
+
+    def __init__(self, stream: trio.abc.Stream, reader: LineReader) -> None:
+        self._stream = stream
+        self._reader = reader
+
+    @property
+    def usable(self) -> bool:
+        """Whether nothing unexpected has come on it; the endpoint may have closed it."""
+        if self._reader.buffered:
+            return False
+        if isinstance(self._stream, trio.SocketStream):
+            return not self._stream.socket.is_readable()
+        return True
+
+    async def ask(self, query: EndpointQuery) -> Reply:
+        """Run one statement."""
+        try:
+            await self._stream.send_all(encode_query(query))
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise ExchangeError(f"the connection to the endpoint broke: {error}") from None
+        return await read_reply(self._reader)
+
+    async def status(self) -> EndpointStatus | None:
+        """Return the endpoint's state, or None if it is too busy to tell."""
+        return parse_status(await self.ask(EndpointQuery(AskStatus())))
+
+    def close(self) -> None:
+        """Close at once."""
+        if isinstance(self._stream, trio.SocketStream):
+            self._stream.socket.close()
+        else:
+            self._stream.close_now()  # type: ignore[attr-defined]
+
+
+class LineDialer:
+    """Opens connections to endpoints.
+
+    Parameters
+    ----------
+    caller : str
+        What this box calls itself to endpoints.
+    """
+
+    def __init__(self, transport: Transport, caller: str) -> None:
+        self._transport = transport
+        self._caller = caller
+
+    async def open(self, entry: EndpointEntry, via: str | None = None) -> LineConnection:
+        """Open a connection and have the endpoint confirm who it is."""
+        stream = await self._transport.connect(via or entry.address)
+        connection: LineConnection | None = None
+        try:
+            connection = await self._greet(stream, entry)
+            return connection
+        finally:
+            if connection is None:
+                with trio.CancelScope(shield=True):
+                    await trio.aclose_forcefully(stream)
+
+    async def _greet(self, stream: trio.abc.Stream, entry: EndpointEntry) -> LineConnection:
+        reader = LineReader(stream)
+        greeting = f"CONNECT {entry.group} {self._caller} {entry.name}\r\n"
+        try:
+            await stream.send_all(greeting.encode())
+        except trio.BrokenResourceError as error:
+            raise ExchangeError(f"{entry.name} broke the new connection: {error}") from None
+        line = await reader.line()
+        if line is None:
+            raise ExchangeError(f"{entry.name} closed the new connection")
+        if line.startswith(b"READY "):
+            return LineConnection(stream, reader)
+        refusal = parse_refusal(line.removeprefix(b"ERROR ").decode())
+        match refusal.kind:
+            case RefusalKind.TOO_MANY_CONNECTIONS:
+                raise EndpointRefusedError(f"{entry.name} has too many connections", at_limit=True)
+            case RefusalKind.WRONG_ENDPOINT:
+                detail = f"another endpoint than {entry.name} is at {entry.address}"
+                raise EndpointRefusedError(detail, at_limit=False)
+            case _:
+                raise ExchangeError(f"{entry.name} refused: {refusal.detail}")
--- /dev/null
+++ b/wharftiller/platform/objects.py
@@ -0,0 +1,179 @@
+"""What the platform's objects say, decoded once: configuration, endpoints, boxes, the record."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import attrs
+
+from wharftiller.core.errors import BadRequestError, PlatformUnavailableError
+from wharftiller.core.leadership.record import LeadershipRecord
+from wharftiller.core.sessions.routes import (
+    BoundedReads,
+    Consistency,
+    EndpointEntry,
+    GroupLimits,
+    OwnWritesReads,
+    PrimaryReads,
+    Route,
+    SessionConfiguration,
+)
+from wharftiller.daemons.sessions.boxes import Box
+from wharftiller.daemons.sessions.seams import SharedListing
+from wharftiller.edges.leadership_json import record_from_json, record_to_json
+
+if TYPE_CHECKING:
+    from wharftiller.decisions import DecisionLog
+    from wharftiller.platform.store import ObjectStore, StoredObject
+
+CONFIGURATION_KIND = "config"
+CONFIGURATION_NAME = "main"
+ENDPOINT_KIND = "servers"
+OWN_KIND = "wharftiller"
+RECORD_NAME = "leadership"
+BOX_PREFIX = "box."
+
+DEFAULT_TIMEOUT_MS = 2_000
+"""A statement's time-out where a route names none, in milliseconds: the longest seen."""
+
+DEFAULT_GOAL_MS = 500
+"""A route's latency goal where it names none, in milliseconds: the longest seen."""
+
+DEFAULT_PRIORITY = 2
+"""The lowest priority seen."""
+
+DEFAULT_TX_IDLE_MS = 3_000
+"""How long a transaction may rest where no limit is named, in milliseconds."""
+
+
+def decode_configuration(document: Any) -> SessionConfiguration:
+    """Return the configuration that the operator's document holds.
+
+    Raises
+    ------
+    KeyError, TypeError, ValueError
+        If it lacks something.
+    """
+    routes = [_route(each) for each in document["Routes"]]
+    groups = [
+        GroupLimits(str(s["Name"]), int(s.get("MaxConns") or 1), int(s.get("SyncReplicas") or 0))
+        for s in document["Services"]
+    ]
+    idle_ms = (document.get("Limits") or {}).get("TxIdleMs") or DEFAULT_TX_IDLE_MS
+    return SessionConfiguration(
+        int(document["Version"]),
+        {route.database: route for route in routes},
+        {group.name: group for group in groups},
+        float(idle_ms) / 1000,
+        document,
+    )
+
+
+def _route(value: Any) -> Route:
+    return Route(
+        name=str(value["Name"]),
+        # The platform calls the database's name a host.
+        database=str(value["Host"]),
+        group=str(value["Service"]),
+        consistency=_consistency(value),
+        timeout_s=float(value.get("TimeoutMs") or DEFAULT_TIMEOUT_MS) / 1000,
+        latency_goal_s=float(value.get("LatencyGoalMs") or DEFAULT_GOAL_MS) / 1000,
+        priority=int(value.get("Priority", DEFAULT_PRIORITY)),
+    )
+
+
+def _consistency(value: Any) -> Consistency:
+    age_s = float(value.get("MaxStalenessMs") or 0) / 1000
+    match value.get("Kind"):
+        case "bounded_staleness":
+            return BoundedReads(age_s)
+        case "read_own_writes":
+            return OwnWritesReads(age_s)
+        case _:
+            # The strictest reading is right for every kind.
+            return PrimaryReads()
+
+
+def decode_endpoint(stored: StoredObject) -> EndpointEntry:
+    """Return the endpoint that registered itself in ``stored``.
+
+    Raises
+    ------
+    KeyError, TypeError
+        If the entry lacks something.
+    """
+    spec = stored.spec
+    return EndpointEntry(
+        name=stored.name,
+        group=str(spec["Service"]),
+        address=str(spec["Address"]),
+        data_centre=str(spec.get("Zone", "")),
+        leads=spec.get("DbRole") == "primary",
+        leaving=spec.get("State") == "draining",
+    )
+
+
+def decode_endpoints(objects: dict[str, StoredObject], log: DecisionLog) -> list[EndpointEntry]:
+    """Return every endpoint that can be understood; the others are logged."""
+    entries = []
+    for stored in objects.values():
+        try:
+            entries.append(decode_endpoint(stored))
+        except (KeyError, TypeError, AttributeError) as error:
+            log.event("endpoint_not_understood", endpoint=stored.name, why=repr(error))
+    return entries
+
+
+class SharedPlatformObjects:
+    """The boxes' list and the record of leadership, kept as objects of one kind."""
+
+    def __init__(self, store: ObjectStore, log: DecisionLog) -> None:
+        self._store = store
+        self._log = log
+
+    async def read(self) -> SharedListing:
+        """Read everything as it stands now."""
+        objects, _ = await self._store.list(OWN_KIND)
+        boxes: dict[str, Box] = {}
+        record = LeadershipRecord()
+        for name, stored in objects.items():
+            if name == RECORD_NAME:
+                record = self._record(stored)
+            elif name.startswith(BOX_PREFIX):
+                box = self._decode_box(stored)
+                if box is not None:
+                    boxes[box.name] = box
+        return SharedListing(record, boxes)
+
+    def _decode_box(self, stored: StoredObject) -> Box | None:
+        try:
+            return Box(**{key: str(stored.spec[key]) for key in Box.__slots__ if key[0] != "_"})
+        except (KeyError, TypeError) as error:
+            self._log.event("box_not_understood", name=stored.name, why=repr(error))
+            return None
+
+    @staticmethod
+    def _record(stored: StoredObject) -> LeadershipRecord:
+        try:
+            return record_from_json(stored.spec, stored.revision)
+        except BadRequestError as error:
+            raise PlatformUnavailableError(str(error)) from error
+
+    async def register(self, box: Box) -> None:
+        """Put ``box`` into the list, or its new process in its place."""
+        name = BOX_PREFIX + box.name
+        spec = attrs.asdict(box)
+        stands = await self._store.put(OWN_KIND, name, spec, 0)
+        if stands.spec != spec:
+            await self._store.put(OWN_KIND, name, spec, None)
+
+    async def withdraw(self, box: Box) -> None:
+        """Take ``box`` out of the list."""
+        await self._store.delete(OWN_KIND, BOX_PREFIX + box.name)
+
+    async def replace_record(self, record: LeadershipRecord) -> LeadershipRecord:
+        """Replace the record of ``record.revision``; return what stands there afterwards."""
+        stands = await self._store.put(
+            OWN_KIND, RECORD_NAME, record_to_json(record), record.revision
+        )
+        return self._record(stands)
--- /dev/null
+++ b/wharftiller/platform/settings.py
@@ -0,0 +1,79 @@
+"""The platform's settings file, decoded."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any
+
+import attrs
+import orjson
+
+from wharftiller.core.errors import WharfError
+
+
+class PlatformSettingsError(WharfError):
+    """The settings file lacks something or holds something unusable."""
+
+    kind = "bad_settings"
+
+
+@attrs.frozen
+class ProcessSettings:
+    """What this process needs of the settings file.
+
+    Attributes
+    ----------
+    callers, ready, boxes : str
+        Addresses on which this process listens: for callers' sessions, for the
+        balancer's questions, for other boxes.
+    relay_port : int
+        First port free for traffic between boxes.
+    store, duties : str
+        Addresses of the platform's objects and of its singleton duties.
+    grace_s : float
+        Time from being told to stop until being killed, in seconds.
+    """
+
+    box: str
+    data_centre: str
+    callers: str
+    ready: str
+    boxes: str
+    relay_port: int
+    seeds: tuple[str, ...]
+    store: str
+    duties: str
+    grace_s: float
+
+
+def load_settings(path: str) -> ProcessSettings:
+    """Return the settings of ``path``.
+
+    Raises
+    ------
+    PlatformSettingsError
+        If the file cannot be read or lacks a field; the message names it.
+    """
+    try:
+        value: dict[str, Any] = orjson.loads(Path(path).read_bytes())
+    except (OSError, orjson.JSONDecodeError) as error:
+        raise PlatformSettingsError(
+            f"{path} holds no settings: {error}. Point WHARFTILLER_SETTINGS at the JSON file"
+        ) from None
+    try:
+        return ProcessSettings(
+            box=str(value["Node"]),
+            data_centre=str(value["Zone"]),
+            callers=str(value["Listen"]["Front"]),
+            ready=str(value["Listen"]["Ready"]),
+            boxes=str(value["Listen"]["Control"]),
+            relay_port=int(value["InternalPorts"][0]),
+            seeds=tuple(str(each) for each in value.get("Seeds") or ()),
+            store=str(value["platform"]["Address"]),
+            duties=str(value["CloudApi"]["Address"]),
+            grace_s=float(value["Bounds"]["GraceS"]),
+        )
+    except (KeyError, TypeError, ValueError, IndexError) as error:
+        raise PlatformSettingsError(
+            f"{path} has no usable {error}. Let the role serve 'front' and 'control'"
+        ) from None
--- /dev/null
+++ b/wharftiller/platform/store.py
@@ -0,0 +1,205 @@
+"""The one client of the platform's objects: lists, watches, conditional changes."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING, Any
+from urllib.parse import quote
+
+import attrs
+import trio
+
+from wharftiller.core.errors import ExchangeError, PlatformUnavailableError
+from wharftiller.edges.http_client import HttpClient
+
+if TYPE_CHECKING:
+    from wharftiller.decisions import DecisionLog
+    from wharftiller.edges.transport import Transport
+
+CALL_TIMEOUT_S = 0.8
+"""Time for one call, in seconds: the platform answers in 4 ms, in 0.24 s when it is slow."""
+
+WATCH_WAIT_MS = 25_000
+"""How long a watch waits for a change, in milliseconds; the platform allows 30 s."""
+
+WATCH_SLACK_S = 3.0
+"""Time that a watch's answer may take beyond its wait, in seconds."""
+
+AGAIN_S = 0.4
+"""Time before a failed watch or list is asked for again, in seconds; doubles up to `AGAIN_MOST_S`."""
+
+AGAIN_MOST_S = 1.6
+"""Longest time between tries while the platform is away, in seconds."""
+
+GATHER_S = 0.15
+"""Time to gather further changes before a watch is asked for again, in seconds."""
+
+
+@attrs.frozen
+class StoredObject:
+    """One object of the platform.
+
+    Attributes
+    ----------
+    revision : int
+        The platform's counter at its last change.
+    """
+
+    name: str
+    revision: int
+    spec: Any
+
+
+class ObjectStore:
+    """Calls to the platform's objects.
+
+    Every method raises `PlatformUnavailableError` if no usable answer came; a
+    change may still take effect then.
+    """
+
+    def __init__(self, transport: Transport, address: str, log: DecisionLog) -> None:
+        self._transport = transport
+        self._address = address
+        self._client = HttpClient(transport, address)
+        self._log = log
+        self.calls = 0
+
+    async def _call(self, method: str, path: str, body: Any = None) -> tuple[int, Any]:
+        return await self._call_on(self._client, method, path, body, CALL_TIMEOUT_S)
+
+    async def _call_on(
+        self, client: HttpClient, method: str, path: str, body: Any, timeout_s: float
+    ) -> tuple[int, Any]:
+        self.calls += 1
+        try:
+            answer = await client.request(method, path, body, timeout_s=timeout_s)
+            value = answer.json() if answer.body else None
+        except ExchangeError as error:
+            raise PlatformUnavailableError(f"{method} {path}: {error}") from error
+        if answer.status in (429, 503) or answer.status >= 500:
+            raise PlatformUnavailableError(f"{method} {path}: answered {answer.status}")
+        return answer.status, value
+
+    async def list(self, kind: str) -> tuple[dict[str, StoredObject], int]:
+        """Return all objects of a kind by name, and the revision they stand at."""
+        found: dict[str, StoredObject] = {}
+        query = ""
+        while True:
+            status, value = await self._call("GET", f"/v1/objects/{kind}{query}")
+            items, revision, more = _parse_page(status, value)
+            found.update({item.name: item for item in items})
+            if not more or not items:
+                return found, revision
+            query = f"?after={quote(items[-1].name)}"
+
+    async def put(self, kind: str, name: str, spec: Any, revision: int | None) -> StoredObject:
+        """Replace an object, or create it; return what stands there afterwards.
+
+        Parameters
+        ----------
+        revision : int or None
+            Only the object of this revision is replaced; 0 only creates, None
+            replaces whatever stands there.
+        """
+        meta: dict[str, Any] = {"Name": name, "Finalizers": []}
+        if revision == 0:
+            status, value = await self._call(
+                "POST", f"/v1/objects/{kind}", {"meta": meta, "spec": spec, "status": None}
+            )
+        else:
+            if revision is not None:
+                meta["Revision"] = revision
+            status, value = await self._call(
+                "PUT", f"/v1/objects/{kind}/{name}", {"meta": meta, "spec": spec, "status": None}
+            )
+        if status in (200, 201, 409) and value is not None:
+            return parse_object(value)
+        raise PlatformUnavailableError(f"writing {kind}/{name} was answered {status}")
+
+    async def delete(self, kind: str, name: str) -> None:
+        """Remove an object; it is no error if it is gone already."""
+        await self._call("DELETE", f"/v1/objects/{kind}/{name}")
+
+    async def follow(
+        self, kind: str, take: Callable[[dict[str, StoredObject]], Awaitable[None] | None]
+    ) -> None:
+        """Call ``take`` with all objects of a kind, now and after each change, for ever."""
+        client = HttpClient(self._transport, self._address)
+        pause_s = AGAIN_S
+        objects: dict[str, StoredObject] | None = None
+        revision = 0
+        while True:
+            try:
+                if objects is None:
+                    objects, revision = await self.list(kind)
+                    take(dict(objects))
+                changes, revision, lost = await self._watch(client, kind, revision)
+                pause_s = AGAIN_S
+            except PlatformUnavailableError as error:
+                self._log.event("watch_failed", kind=kind, why=str(error))
+                await trio.sleep(pause_s)
+                pause_s = min(AGAIN_MOST_S, pause_s * 2)
+                continue
+            if lost:
+                self._log.change("watch_history_lost", kind=kind)
+                objects = None
+                continue
+            if changes:
+                _apply(objects, changes)
+                take(dict(objects))
+                await trio.sleep(GATHER_S)
+
+    async def _watch(
+        self, client: HttpClient, kind: str, revision: int
+    ) -> tuple[list[tuple[bool, StoredObject]], int, bool]:
+        """Wait for changes; the last value tells whether the history is gone."""
+        path = f"/v1/objects/{kind}?Watch={revision}&WaitMs={WATCH_WAIT_MS}"
+        timeout_s = WATCH_WAIT_MS / 1000 + WATCH_SLACK_S
+        status, value = await self._call_on(client, "GET", path, None, timeout_s)
+        if status == 410:
+            return [], revision, True
+        if status != 200 or not isinstance(value, dict):
+            raise PlatformUnavailableError(f"watching {kind} was answered {status}")
+        try:
+            changes = [
+                (bool(event.get("Tombstone")), parse_object(event["Object"]))
+                for event in value.get("events") or ()
+            ]
+            return changes, int(value["CurrentRev"]), False
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            raise PlatformUnavailableError(f"a change of {kind} is unusable: {error!r}") from None
+
+
+def _apply(objects: dict[str, StoredObject], changes: list[tuple[bool, StoredObject]]) -> None:
+    for gone, changed in changes:
+        if gone:
+            objects.pop(changed.name, None)
+        else:
+            objects[changed.name] = changed
+
+
+def _parse_page(status: int, value: Any) -> tuple[list[StoredObject], int, bool]:
+    if status == 404:
+        return [], 0, False
+    try:
+        items = [parse_object(item) for item in value.get("items") or ()]
+        return items, int(value["CurrentRev"]), bool(value.get("MorePages"))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise PlatformUnavailableError(f"a list is unusable: {error!r}") from None
+
+
+def parse_object(value: Any) -> StoredObject:
+    """Return the object that ``value`` holds.
+
+    Raises
+    ------
+    PlatformUnavailableError
+        If it is none.
+    """
+    try:
+        meta = value["meta"]
+        return StoredObject(str(meta["Name"]), int(meta["Revision"]), value.get("spec"))
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise PlatformUnavailableError(f"an object is unusable: {error!r}") from None
+
+
