Read the platform for the others; make a change of primary conditional on what decided it

Cause: (1) watches stay silent for seconds while the platform's history is compacted, so a new configuration was not in force in time; (2) a change of primary used the record as it stood when it was written, not as it stood when the change was decided, so several boxes took one change over from each other and a lower fence was sent after a higher one. Ruled out: a false sign that the holder had restarted. Change: one box reads the shared objects every second and re-reads what its watches did not tell; rounds carry versions; the update is conditional on the revision that the decision was made on, and lists the boxes anew after the win.

--- a/wharftiller/core/leadership/lease.py
+++ b/wharftiller/core/leadership/lease.py
@@ -1,4 +1,4 @@
-"""This box's leases: until when it may use the primary that it knows of.
+"""Leases of this box: until when it may use the primary that it knows of.
 
 A lease runs `LEASE_S` from the *sending* of the last check that showed the record
 unchanged, on this box's own steady clock. A box that replaces a primary waits for
@@ -19,7 +19,7 @@
 
 import attrs
 
-from wharftiller.core.leadership.record import Leading, LeadershipRecord, Moving
+from wharftiller.core.leadership.record import LeadershipRecord, Leading, Moving
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/wharftiller/core/sessions/__init__.py
+++ b/wharftiller/core/sessions/__init__.py
@@ -1,1 +1,1 @@
-"""Callers' sessions kept as connections: statements, routes, endpoints and the choice among them."""
+"""Callers' sessions as connections: statements, routes, endpoints, the choice among them."""
--- a/wharftiller/core/sessions/endpoints.py
+++ b/wharftiller/core/sessions/endpoints.py
@@ -31,6 +31,13 @@
 the announcement's way here and for a statement on its way there.
 """
 
+MISSING_GONE_S = 2.5
+"""Time after which an endpoint that is missing from the list is gone, in seconds.
+
+Entries lapse while the platform is away; those of living endpoints are back two
+seconds after it returns.
+"""
+
 
 @attrs.define
 class EndpointRow:
@@ -50,6 +57,8 @@
         A position it refused for, and when.
     leaving_since : float or None
         When this box learned that it is about to end.
+    missing_since : float or None
+        Since when it is missing from the list of registered endpoints.
     """
 
     entry: EndpointEntry
@@ -63,6 +72,7 @@
     behind_at: float = -math.inf
     gone: bool = False
     leaving_since: float | None = None
+    missing_since: float | None = None
 
     @property
     def name(self) -> str:
@@ -73,6 +83,12 @@
         """Return whether a primary that is about to end may still be sent statements."""
         return self.leaving_since is None or now - self.leaving_since < LEAVING_PRIMARY_S
 
+    def is_taken_as_gone(self, now: float) -> bool:
+        """Return whether it is missing from the list for good."""
+        if self.missing_since is None:
+            return False
+        return self.leaving_since is not None or now - self.missing_since >= MISSING_GONE_S
+
     def sent(self, connection: int, now: float) -> None:
         """Note that an answer is owed on ``connection``."""
         self.owed[connection] = now
--- a/wharftiller/daemons/sessions/boxes.py
+++ b/wharftiller/daemons/sessions/boxes.py
@@ -15,7 +15,7 @@
 from wharftiller.core.errors import BadRequestError, ExchangeError, UnknownPathError
 from wharftiller.core.freshness import FreshPoint
 from wharftiller.core.leadership.lease import RoundAnswer
-from wharftiller.core.leadership.record import Leading, Moving
+from wharftiller.core.leadership.record import Leading
 from wharftiller.core.positions import LogPosition
 from wharftiller.edges.http_client import HttpClient
 from wharftiller.edges.http_server import HttpRequest, HttpResponse
@@ -67,6 +67,7 @@
     answer: RoundAnswer
     incarnation: str
     version: int
+    endpoints_revision: int
     hears: frozenset[str]
 
 
@@ -141,7 +142,13 @@
                 self._take_point(group, lead, LogPosition(term, index), asked_at - age_ms / 1000)
             answer = RoundAnswer(box.name, bool(value["read"]), record)
             hears = frozenset(map(str, value["hears"]))
-            return BoxReply(answer, str(value["incarnation"]), int(value["version"]), hears)
+            return BoxReply(
+                answer,
+                str(value["incarnation"]),
+                int(value["version"]),
+                int(value["endpoints_revision"]),
+                hears,
+            )
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise BadRequestError(
                 f"{box.name} answered a round with nonsense: {error!r}. Run one version everywhere"
@@ -165,25 +172,32 @@
             client = self._clients[address] = HttpClient(self._transport, address)
         return client
 
-    async def ask_word(self, box: Box, group: str, record: LeadershipRecord) -> bool:
-        """Ask a box to stop using ``group``'s old primary; return whether it has."""
-        body = {"group": group, "revision": record.revision, "record": record_to_json(record)}
+    async def ask_word(self, box: Box, record: LeadershipRecord) -> bool:
+        """Ask a box to stop using the primaries being replaced; return whether it has."""
+        body = {"revision": record.revision, "record": record_to_json(record)}
         try:
             value = await self._post(box, "/peer/stop", body, WORD_TIMEOUT_S)
         except ExchangeError as error:
-            self._state.log.event("word_not_given", other=box.name, group=group, why=str(error))
+            self._state.log.event("word_not_given", other=box.name, why=str(error))
             return False
         return isinstance(value, dict) and value.get("stopped") is True
 
     async def tell_record(self, record: LeadershipRecord) -> None:
         """Tell every other box of a new record."""
-        body = {"revision": record.revision, "record": record_to_json(record)}
+        await self._tell(
+            "/peer/record", {"revision": record.revision, "record": record_to_json(record)}
+        )
+
+    async def tell_news(self) -> None:
+        """Have every other box look for a newer configuration or list of endpoints."""
+        await self._tell("/peer/news", {})
 
+    async def _tell(self, path: str, body: Any) -> None:
         async def tell(box: Box) -> None:
             try:
-                await self._post(box, "/peer/record", body, ROUND_TIMEOUT_S)
+                await self._post(box, path, body, ROUND_TIMEOUT_S)
             except ExchangeError as error:
-                self._state.log.event("record_not_told", other=box.name, why=str(error))
+                self._state.log.event("box_not_told", other=box.name, what=path, why=str(error))
 
         async with trio.open_nursery() as nursery:
             for box in self.boxes.values():
@@ -228,6 +242,9 @@
             case ("POST", "/peer/record"):
                 self._adopt(request.json())
                 return HttpResponse(200, {})
+            case ("POST", "/peer/news"):
+                self._state.check_soon.set()
+                return HttpResponse(200, {})
             case ("GET", "/peer/known"):
                 return HttpResponse(200, self._known())
             case (method, path):
@@ -245,6 +262,7 @@
             "revision": record.revision,
             "record": record_to_json(record) if newer else None,
             "version": state.version,
+            "endpoints_revision": state.endpoints_revision,
             "points": self._points(),
             "hears": self._heard(),
         }
@@ -280,20 +298,24 @@
             self._state.wake()
 
     async def _stop(self, value: Any) -> dict[str, Any]:
-        """Stop using a group's old primary, letting writes end first if that is planned."""
+        """Stop using the primaries being replaced."""
         self._adopt(value)
-        group = value.get("group")
-        moving = self._state.leases.record.groups.get(group)
-        if not isinstance(moving, Moving):
+        record = self._state.leases.record
+        if record.revision < value["revision"] or not record.moving:
             return {"stopped": False}
-        if moving.planned:
-            await self.quiet(group)
-        self._state.leases.give_word(group, moving.old.endpoint)
-        self._state.log.change("word_given", group=group, endpoint=moving.old.endpoint)
-        self._state.wake()
+        await self.stop_using(record)
         return {"stopped": True}
 
-    async def quiet(self, group: str) -> None:
+    async def stop_using(self, record: LeadershipRecord) -> None:
+        """Stop using the primaries being replaced, where planned once writes have ended."""
+        for group, moving in record.moving.items():
+            if moving.planned:
+                await self._quiet(group)
+            self._state.leases.give_word(group, moving.old.endpoint)
+        self._state.log.change("word_given", groups=sorted(record.moving))
+        self._state.wake()
+
+    async def _quiet(self, group: str) -> None:
         """Wait until this box's writes in ``group`` have ended, for some time at most."""
         with trio.move_on_after(QUIET_WAIT_S):
             while not self._state.is_quiet(group):
--- a/wharftiller/daemons/sessions/mover.py
+++ b/wharftiller/daemons/sessions/mover.py
@@ -21,12 +21,14 @@
 from wharftiller.core.leadership.record import Leading, Moving
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from wharftiller.core.leadership.record import LeadershipRecord
     from wharftiller.core.sessions.endpoints import EndpointRow
     from wharftiller.core.sessions.statements import EndpointStatus
-    from wharftiller.daemons.sessions.boxes import BoxDirectory, BoxServer
+    from wharftiller.daemons.sessions.boxes import Box, BoxDirectory, BoxServer
     from wharftiller.daemons.sessions.probes import Prober
-    from wharftiller.daemons.sessions.seams import Promotions, SharedObjects
+    from wharftiller.daemons.sessions.seams import Promotions, SharedListing, SharedObjects
     from wharftiller.daemons.sessions.state import SharedState
 
 LOOK_S = 0.15
@@ -47,6 +49,9 @@
 LEADS_LOOK_S = 0.06
 """Time between looks at whether it does, in seconds."""
 
+RECORD_TRIES = 5
+"""Times a finished change is offered to the platform before the next look does it again."""
+
 FAILED_PAUSE_S = 1.0
 """Pause after a change that could not be carried on, in seconds."""
 
@@ -77,6 +82,7 @@
         promotions: Promotions,
         prober: Prober,
         incarnation: str,
+        take_listing: Callable[[SharedListing, float], None],
     ) -> None:
         self._state = state
         self._directory = directory
@@ -85,11 +91,12 @@
         self._promotions = promotions
         self._prober = prober
         self._incarnation = incarnation
+        self._take_listing = take_listing
         self._attempts: dict[str, float] = {}
         self._may_undo: set[int] = set()
         self._numbers = itertools.count(1)
         self._won_at: dict[int, tuple[float, float]] = {}
-        self._seen: dict[str, _Seen] = {}
+        self._seen: _Seen | None = None
         self._started_at = trio.current_time()
         self.listed_since: float | None = None
 
@@ -108,18 +115,14 @@
     async def _look(self) -> None:
         await self._first_record()
         record = self._state.leases.record
-        for group, moving in record.moving.items():
-            if record.holder == self._incarnation:
-                await self._drive(group, moving)
-                return
-            if self._may_take_over(group, record):
-                await self._take_over(group, moving)
-                return
-        if record.moving:
-            return
-        for group, state in record.groups.items():
-            if isinstance(state, Leading) and await self._start(group, state):
-                return
+        if record.moving and record.holder == self._incarnation:
+            await self._drive(record)
+        elif record.moving:
+            if self._may_take_over(record):
+                self._state.log.change("change_taken_over", groups=sorted(record.moving))
+                await self._write(self._as_holder(record))
+        else:
+            await self._start(record)
 
     # The first record ---------------------------------------------------
 
@@ -168,30 +171,37 @@
 
     # Starting a change --------------------------------------------------
 
-    async def _start(self, group: str, leading: Leading) -> bool:
-        """Start replacing ``group``'s primary if it must be; return whether it was started."""
-        state = self._state
+    async def _start(self, record: LeadershipRecord) -> None:
+        """Start replacing every primary that must be.
+
+        The update is conditional on ``record``'s revision: whatever another box
+        writes while this one asks around makes it fail.
+        """
+        changed = self._as_holder(record)
+        for group, leading in record.groups.items():
+            if isinstance(leading, Leading):
+                moving = await self._change_needed(group, leading)
+                if moving is not None:
+                    changed = changed.with_group(group, moving)
+        if changed.moving:
+            self._may_undo.add(changed.fence)
+            await self._write(changed)
+
+    async def _change_needed(self, group: str, leading: Leading) -> Moving | None:
+        """Return the change that ``group`` needs, if it is this box's turn to start one."""
         now = trio.current_time()
-        row = state.rows.get(leading.endpoint)
-        turn = turn_of(state.box, self._directory.replies, group)
-        leaving = row is not None and row.leaving_since is not None and not row.gone
-        planned = (
-            leaving
-            and row is not None
-            and not row.is_suspect(now)
-            and now - (row.leaving_since or now) >= turn * FIRST_TURN_S
-        )
+        row = self._state.rows.get(leading.endpoint)
+        turn = turn_of(self._state.box, self._directory.replies, group)
+        planned = row is not None and self._leaves(row, turn, now)
         if not planned and not is_lost(row, turn, now):
-            return False
+            return None
         if not planned and await self._is_heard_elsewhere(leading.endpoint):
-            return False
-        candidates = await self._candidates(group, leading.endpoint)
-        best = best_candidate(candidates)
+            return None
+        best = best_candidate(await self._candidates(group, leading.endpoint))
         if best is None:
-            state.log.event("no_successor", group=group, old=leading.endpoint)
-            await trio.sleep(ASK_AGAIN_S)
-            return False
-        state.log.change(
+            self._state.log.event("no_successor", group=group, old=leading.endpoint)
+            return None
+        self._state.log.change(
             "change_of_primary_starts",
             group=group,
             old=leading.endpoint,
@@ -199,10 +209,13 @@
             received=str(best.received),
             planned=planned,
         )
-        record = self._as_holder(state.leases.record)
-        moving = Moving(leading, best.name, planned)
-        self._may_undo.add(record.fence)
-        return await self._write(record.with_group(group, moving))
+        return Moving(leading, best.name, planned)
+
+    @staticmethod
+    def _leaves(row: EndpointRow, turn: int, now: float) -> bool:
+        if row.leaving_since is None or row.gone or row.is_suspect(now):
+            return False
+        return now - row.leaving_since >= turn * FIRST_TURN_S
 
     async def _is_heard_elsewhere(self, endpoint: str) -> bool:
         await self._directory.round()
@@ -235,55 +248,84 @@
 
     # Carrying a change on -----------------------------------------------
 
-    async def _drive(self, group: str, moving: Moving) -> None:
-        """Carry on the change that this box holds."""
-        record = self._state.leases.record
-        asked_at, won_at = self._won_at.get(record.fence, (None, None))
-        if asked_at is None or won_at is None:
-            # An update of this process whose answer was lost turned up in a read.
-            now = trio.current_time()
-            asked_at, won_at = self._attempts.get(record.attempt, now - SEND_WINDOW_S), now
-            self._won_at[record.fence] = (asked_at, won_at)
-        if not await self._everyone_stopped(group, moving, won_at):
-            await self._write(record.with_group(group, moving.old))
+    async def _drive(self, record: LeadershipRecord) -> None:
+        """Carry on the changes that this box holds."""
+        asked_at, won_at = self._won(record)
+        answering = await self._everyone_stopped(record, won_at)
+        if answering:
+            for group in answering:
+                record = record.with_group(group, record.moving[group].old)
+            await self._write(record)
             await self._directory.tell_record(self._state.leases.record)
             return
-        if moving.planned:
-            await self._successor_caught_up(moving)
-        moving = await self._with_best_successor(group, moving)
-        if trio.current_time() - asked_at > SEND_WINDOW_S:
+        settled = await self._with_successors(record)
+        if settled != record:
+            # The next look carries on with the successors recorded.
+            await self._write(settled)
+        elif trio.current_time() - asked_at > SEND_WINDOW_S:
             await self._write(self._as_holder(record))
-            return
-        if not await self._promote(group, moving, record.fence):
-            return
-        await self._finish(group, moving)
+        elif self._state.leases.record.revision == record.revision:
+            await self._promote_all(record)
 
-    async def _everyone_stopped(self, group: str, moving: Moving, won_at: float) -> bool:
-        """Return True once no box uses the old primary; False if it answers again."""
-        record = self._state.leases.record
+    def _won(self, record: LeadershipRecord) -> tuple[float, float]:
+        """Return when the record was asked for and when this box learned that it won it."""
+        known = self._won_at.get(record.fence)
+        if known is None:
+            # An update of this process whose answer was lost turned up in a read.
+            now = trio.current_time()
+            known = (self._attempts.get(record.attempt, now - SEND_WINDOW_S), now)
+            self._won_at[record.fence] = known
+        return known
+
+    async def _everyone_stopped(self, record: LeadershipRecord, won_at: float) -> list[str]:
+        """Return once no box uses an old primary; the groups whose lost one answers again."""
+        listed = await self._list_anew()
         silent = dict(self._directory.boxes)
-        if moving.planned:
-            await self._server.quiet(group)
-        self._state.leases.give_word(group, moving.old.endpoint)
-        while silent:
-            await self._ask_words(silent, group, record)
+        await self._server.stop_using(record)
+        while silent or not listed:
+            await self._ask_words(silent, record)
             now = trio.current_time()
+            answering = self._answering_again(record, won_at)
+            if answering:
+                return answering
             if now >= won_at + LEASE_S and self._is_old_member(now):
-                self._state.log.change("lease_waited_out", group=group, silent=sorted(silent))
-                return True
-            row = self._state.rows.get(moving.old.endpoint)
-            undo = silent and not moving.planned and record.fence in self._may_undo
-            if undo and row is not None and row.heard_at > won_at:
-                self._state.log.change("old_primary_answers", group=group, endpoint=row.name)
-                return False
-            if silent:
+                self._state.log.change("lease_waited_out", silent=sorted(silent))
+                break
+            if silent or not listed:
                 await trio.sleep(ASK_AGAIN_S)
+        return []
+
+    async def _list_anew(self) -> bool:
+        """Read the list of boxes after the record was won; return whether it was read.
+
+        A box joins the list before its first lease, so this list holds every box
+        that may hold a lease from before the win.
+        """
+        asked_at = trio.current_time()
+        try:
+            listing = await self._store.read()
+        except PlatformUnavailableError as error:
+            self._state.log.event("boxes_not_listed", why=str(error))
+            return False
+        self._take_listing(listing, asked_at)
         return True
 
-    async def _ask_words(self, silent: dict[str, object], group: str, record: LeadershipRecord) -> None:
+    def _answering_again(self, record: LeadershipRecord, won_at: float) -> list[str]:
+        """Return the groups whose lost primary answers again and may still go on leading."""
+        if record.fence not in self._may_undo:
+            return []
+        answering = []
+        for group, moving in record.moving.items():
+            row = self._state.rows.get(moving.old.endpoint)
+            if not moving.planned and row is not None and row.heard_at > won_at:
+                self._state.log.change("old_primary_answers", group=group, endpoint=row.name)
+                answering.append(group)
+        return answering
+
+    async def _ask_words(self, silent: dict[str, Box], record: LeadershipRecord) -> None:
         async def ask(name: str) -> None:
             box = self._directory.boxes.get(name)
-            if box is None or await self._directory.ask_word(box, group, record):
+            if box is None or await self._directory.ask_word(box, record):
                 silent.pop(name, None)
 
         async with trio.open_nursery() as nursery:
@@ -294,6 +336,16 @@
         """Return whether every other box's list must hold this box by now."""
         return self.listed_since is not None and now - self.listed_since > LISTING_S + LEASE_S
 
+    async def _with_successors(self, record: LeadershipRecord) -> LeadershipRecord:
+        """Return the record with each change's best successor."""
+        for group, moving in record.moving.items():
+            if moving.planned:
+                await self._successor_caught_up(moving)
+            best = await self._best_successor(group, moving)
+            if best != moving.successor:
+                record = record.with_group(group, attrs.evolve(moving, successor=best))
+        return record
+
     async def _successor_caught_up(self, moving: Moving) -> None:
         """Wait until the successor has received all that the old primary holds."""
         old = self._state.rows.get(moving.old.endpoint)
@@ -308,21 +360,34 @@
                 await trio.sleep(LEADS_LOOK_S)
         self._state.log.event("successor_behind", endpoint=moving.successor)
 
-    async def _with_best_successor(self, group: str, moving: Moving) -> Moving:
-        """Return the change with the successor that has received most, recorded as such."""
+    async def _best_successor(self, group: str, moving: Moving) -> str:
+        """Return the endpoint that has received most, the recorded one if it has."""
         candidates = await self._candidates(group, moving.old.endpoint)
         best = best_candidate(candidates)
         named = next((each for each in candidates if each.name == moving.successor), None)
         if best is None or (named is not None and named.received >= best.received):
-            return moving
-        changed = attrs.evolve(moving, successor=best.name)
-        if await self._write(self._state.leases.record.with_group(group, changed)):
-            return changed
-        return moving
+            return moving.successor
+        return best.name
+
+    async def _promote_all(self, record: LeadershipRecord) -> None:
+        """Order every promotion, then record those that took effect."""
+        led: dict[str, Leading] = {}
+        self._may_undo.discard(record.fence)
+
+        async def promote(group: str, moving: Moving) -> None:
+            if await self._promote(group, moving, record.fence):
+                leading = await self._leading(moving)
+                if leading is not None:
+                    led[group] = leading
+
+        async with trio.open_nursery() as nursery:
+            for group, moving in record.moving.items():
+                nursery.start_soon(promote, group, moving)
+        if led:
+            await self._record_led(record, led)
 
     async def _promote(self, group: str, moving: Moving, fence: int) -> bool:
         holder = self._state.box
-        self._may_undo.discard(fence)
         try:
             accepted = await self._promotions.promote(group, moving.successor, holder, fence)
         except PlatformUnavailableError as error:
@@ -338,23 +403,26 @@
             await trio.sleep(ASK_AGAIN_S)
         return accepted
 
-    async def _finish(self, group: str, moving: Moving) -> None:
-        """Record the successor once it says that it leads."""
+    async def _leading(self, moving: Moving) -> Leading | None:
+        """Return the successor with its term once it says that it leads."""
         row = self._state.rows.get(moving.successor)
-        status: EndpointStatus | None = None
         with trio.move_on_after(LEADS_WITHIN_S):
             while row is not None and not row.gone:
                 status = await self._status(row)
                 if status is not None and status.leads and status.term > moving.old.term:
-                    break
+                    return Leading(moving.successor, status.term)
                 await trio.sleep(LEADS_LOOK_S)
-        if status is None or not status.leads:
-            self._state.log.event("successor_does_not_lead", endpoint=moving.successor)
-            return
-        leading = Leading(moving.successor, status.term)
-        for _ in range(5):
+        self._state.log.event("successor_does_not_lead", endpoint=moving.successor)
+        return None
+
+    async def _record_led(self, record: LeadershipRecord, led: dict[str, Leading]) -> None:
+        """Record the new primaries, tell every box, and demote the old ones."""
+        moved = record.moving
+        for group, leading in led.items():
+            record = record.with_group(group, leading)
+        for _ in range(RECORD_TRIES):
             try:
-                if await self._write(self._state.leases.record.with_group(group, leading)):
+                if await self._write(record):
                     break
                 return
             except PlatformUnavailableError as error:
@@ -362,19 +430,21 @@
                 await trio.sleep(ASK_AGAIN_S)
         self._state.check_soon.set()
         await self._directory.tell_record(self._state.leases.record)
-        self._prober.demote_soon(moving.old.endpoint, status.term)
+        for group, leading in led.items():
+            self._prober.demote_soon(moved[group].old.endpoint, leading.term)
 
     # Taking over --------------------------------------------------------
 
-    def _may_take_over(self, group: str, record: LeadershipRecord) -> bool:
+    def _may_take_over(self, record: LeadershipRecord) -> bool:
         """Return whether the holder of a change can surely order nothing any more."""
         now = trio.current_time()
-        seen = self._seen.get(group)
-        if seen is None or seen.fence != record.fence:
-            seen = self._seen[group] = _Seen(record.fence, now)
-        if now - seen.at > TAKE_OVER_S:
+        if self._seen is None or self._seen.fence != record.fence:
+            self._seen = _Seen(record.fence, now)
+        seen_s = now - self._seen.at
+        if seen_s > TAKE_OVER_S:
             return True
-        return self._holder_restarted(record.holder) and now - seen.at > 2 * ASK_AGAIN_S
+        turn = turn_of(self._state.box, self._directory.replies, str(record.fence))
+        return self._holder_restarted(record.holder) and seen_s > (1 + turn) * FIRST_TURN_S
 
     def _holder_restarted(self, holder: str) -> bool:
         """Return whether the holder's box runs another process by now."""
@@ -383,9 +453,3 @@
             return True
         reply = self._directory.replies.get(name)
         return reply is not None and reply.incarnation != holder
-
-    async def _take_over(self, group: str, moving: Moving) -> None:
-        self._state.log.change("change_taken_over", group=group, successor=moving.successor)
-        await self._write(self._as_holder(self._state.leases.record))
-
-
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -9,6 +9,7 @@
 import trio
 
 from wharftiller.core.errors import PlatformUnavailableError
+from wharftiller.core.leadership.moves import turn_of
 from wharftiller.core.sessions.routes import EndpointEntry
 from wharftiller.daemons.sessions.boxes import ROUND_S, Box, BoxDirectory, BoxServer
 from wharftiller.daemons.sessions.callers import SessionServer
@@ -22,7 +23,13 @@
     from collections.abc import Callable
 
     from wharftiller.core.sessions.routes import SessionConfiguration
-    from wharftiller.daemons.sessions.seams import EndpointDialer, Promotions, SharedObjects
+    from wharftiller.daemons.sessions.seams import (
+        EndpointDialer,
+        Feeds,
+        Promotions,
+        SharedListing,
+        SharedObjects,
+    )
     from wharftiller.decisions import DecisionLog
     from wharftiller.edges.http_server import HttpRequest, HttpResponse
     from wharftiller.edges.transport import Transport
@@ -33,6 +40,13 @@
 Must stay well below the age that a round allows the list of boxes (12 s).
 """
 
+READER_READS_S = 1.0
+"""Time between reads by the box that reads for all, in seconds.
+
+A third of the time in which a configuration must be in force (3 s): the rest is for
+a change that the platform's watches do not tell to be read and told to the others.
+"""
+
 LEARN_AGAIN_S = 0.5
 """Time between questions to neighbours while nothing is configured, in seconds."""
 
@@ -82,6 +96,7 @@
         transport: Transport,
         dialer: EndpointDialer,
         shared: SharedObjects,
+        feeds: Callable[[SharedState, Callable[[], None]], Feeds],
         promotions: Promotions,
         log: DecisionLog,
         decode_configuration: Callable[[Any], SessionConfiguration],
@@ -107,7 +122,10 @@
             promotions,
             self._prober,
             incarnation,
+            self.take_listing,
         )
+        self._feeds = feeds(self.state, self._missed_change_found)
+        self._renewed = False
         self._platform_answers: bool | None = None
         self._unready = False
 
@@ -118,8 +136,10 @@
 
     def start(self) -> None:
         """Start every task."""
+        self._feeds.start(self._nursery)
         for task in (
-            self._check_for_ever,
+            self._renew_for_ever,
+            self._read_for_ever,
             self._learn_from_neighbours,
             self._maintain_for_ever,
             self._prober.run,
@@ -134,59 +154,80 @@
 
     # Leases, the list of boxes and the record ---------------------------
 
-    async def _check_for_ever(self) -> None:
-        read_at = -SHARED_READ_S
+    async def _renew_for_ever(self) -> None:
+        """Renew the leases by rounds; look for news that other boxes have."""
         while True:
             self.state.check_soon = trio.Event()
-            renewed = False
-            now = trio.current_time()
-            if now - read_at >= SHARED_READ_S or not self._directory.boxes:
-                read_at = now
-                renewed = await self._read_shared()
-            elif not await self._directory.round():
-                read_at = now
-                await self._read_shared()
-            self._learn_newer()
+            if self._directory.boxes:
+                self._renewed = await self._directory.round()
+                self._learn_newer()
             with trio.move_on_after(ROUND_S):
                 await self.state.check_soon.wait()
 
-    async def _read_shared(self) -> bool:
+    async def _read_for_ever(self) -> None:
+        """Read the shared objects: often where no other box does it for this one."""
+        while True:
+            await self._read_shared()
+            with trio.move_on_after(SHARED_READ_S):
+                while True:
+                    await trio.sleep(READER_READS_S)
+                    if self._is_reader or not self._renewed:
+                        break
+
+    @property
+    def _is_reader(self) -> bool:
+        """Whether this box reads the platform for all that answer it."""
+        return turn_of(self._box.name, self._directory.replies, "reader") == 0
+
+    async def _read_shared(self) -> None:
         asked_at = trio.current_time()
         try:
             listing = await self._shared.read()
-            own = listing.boxes.get(self._box.name)
-            if own != self._box:
+            if listing.boxes.get(self._box.name) != self._box:
+                # A lease counts only from a read made after the registration.
                 await self._shared.register(self._box)
+                asked_at = trio.current_time()
+                listing = await self._shared.read()
         except PlatformUnavailableError as error:
             self._platform_answered(False, str(error))
-            if self._directory.boxes:
-                await self._directory.round()
-            return False
+            return
         self._platform_answered(True)
+        self.take_listing(listing, asked_at)
+        if self._is_reader or not self._renewed:
+            self._feeds.noticed(listing.revision)
+
+    def take_listing(self, listing: SharedListing, asked_at: float) -> None:
+        """Take in what was read from the platform, asked for at ``asked_at`` (seconds)."""
         others = {n: box for n, box in listing.boxes.items() if n != self._box.name}
         self._directory.take_list(others)
+        if listing.boxes.get(self._box.name) != self._box:
+            return
         self.state.leases.listed(others, asked_at)
-        if own == self._box and self._mover.listed_since is None:
+        if self._mover.listed_since is None:
             self._mover.listed_since = asked_at
-        before = self.state.leases.record
+        before = self.state.leases.record.revision
         self.state.leases.read(listing.record, asked_at)
-        if self.state.leases.record.revision != before.revision:
-            record = self.state.leases.record
+        record = self.state.leases.record
+        if record.revision != before:
             self._log.change("record_adopted", revision=record.revision, source="platform")
         self.state.wake()
-        return True
 
     def _platform_answered(self, answers: bool, why: str = "") -> None:
         if self._platform_answers != answers:
             self._platform_answers = answers
             self._log.change("platform_back" if answers else "platform_lost", why=why)
 
+    def _missed_change_found(self) -> None:
+        """Tell the other boxes of a change that the platform's watches did not tell."""
+        self._nursery.start_soon(self._directory.tell_news)
+
     # Learning from other boxes ------------------------------------------
 
     def _known(self) -> dict[str, Any]:
         rows = self.state.rows.values()
         return {
             "configuration": self.state.configuration.document,
+            "endpoints_revision": self.state.endpoints_revision,
             "endpoints": [attrs.asdict(row.entry) for row in rows if not row.gone],
         }
 
@@ -206,23 +247,23 @@
         try:
             configuration = self._decode_configuration(known["configuration"])
             entries = [EndpointEntry(**each) for each in known["endpoints"]]
+            revision = int(known["endpoints_revision"])
         except (KeyError, TypeError, ValueError) as error:
             self._log.event("neighbour_not_understood", other=address, why=repr(error))
             return
         self.state.take_configuration(configuration, f"box {address}")
-        if not self.state.rows:
-            self.state.take_endpoints(entries)
+        self.state.take_endpoints(entries, revision)
 
     def _learn_newer(self) -> None:
-        """Fetch the configuration from a box that has a newer one."""
-        newest = max(
-            self._directory.replies.items(), key=lambda item: item[1].version, default=None
-        )
-        if newest is None or newest[1].version <= self.state.version:
-            return
-        box = self._directory.boxes.get(newest[0])
-        if box is not None:
-            self._nursery.start_soon(self._learn_from, box.address)
+        """Fetch configuration and endpoints from a box that knows newer ones."""
+        state = self.state
+        for name, reply in self._directory.replies.items():
+            newer = reply.version > state.version
+            if newer or reply.endpoints_revision > state.endpoints_revision:
+                box = self._directory.boxes.get(name)
+                if box is not None:
+                    self._nursery.start_soon(self._learn_from, box.address)
+                    return
 
     # Maintenance and stopping -------------------------------------------
 
@@ -230,6 +271,7 @@
         while True:
             await trio.sleep(MAINTENANCE_S)
             now = trio.current_time()
+            self.state.expire_endpoints(now)
             for pool in self.state.pools.values():
                 pool.trim(now)
 
--- a/wharftiller/daemons/sessions/seams.py
+++ b/wharftiller/daemons/sessions/seams.py
@@ -7,6 +7,8 @@
 import attrs
 
 if TYPE_CHECKING:
+    import trio
+
     from wharftiller.core.leadership.record import LeadershipRecord
     from wharftiller.core.sessions.routes import EndpointEntry
     from wharftiller.core.sessions.statements import EndpointQuery, EndpointStatus, Reply
@@ -66,10 +68,28 @@
         Revision 0 if there is none yet.
     boxes : dict of str to Box
         Every registered box, this one included.
+    revision : int
+        The platform's revision as of the read; any change of anything raises it.
     """
 
     record: LeadershipRecord
     boxes: dict[str, Box]
+    revision: int = 0
+
+
+class Feeds(Protocol):
+    """Brings the configuration and the endpoints from the platform."""
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Start to follow them."""
+        ...
+
+    def noticed(self, revision: int) -> None:
+        """Read anew what was not heard of up to the platform's ``revision``.
+
+        Watches of the platform may miss changes for a while.
+        """
+        ...
 
 
 class SharedObjects(Protocol):
--- a/wharftiller/daemons/sessions/state.py
+++ b/wharftiller/daemons/sessions/state.py
@@ -18,7 +18,7 @@
 from wharftiller.daemons.sessions.pool import EndpointPool
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from wharftiller.core.positions import LogPosition
     from wharftiller.core.sessions.session import Session
@@ -71,6 +71,7 @@
         self.data_centre = data_centre
         self.log = log
         self.configuration = SessionConfiguration()
+        self.endpoints_revision = 0
         self.leases = LeaseTable()
         self.rows: dict[str, EndpointRow] = {}
         self.pools: dict[str, EndpointPool] = {}
@@ -89,20 +90,37 @@
         if configuration.version <= self.configuration.version:
             return False
         old, self.configuration = self.configuration.version, configuration
-        self.log.change("configuration_in_force", version=configuration.version, old=old, source=source)
+        self.log.change(
+            "configuration_in_force", version=configuration.version, old=old, source=source
+        )
         self.wake()
         return True
 
-    def take_endpoints(self, entries: Iterable[EndpointEntry]) -> None:
-        """Take in the whole list of registered endpoints."""
+    def take_endpoints(self, entries: Iterable[EndpointEntry], revision: int) -> bool:
+        """Take in the whole list of registered endpoints as of the platform's ``revision``."""
+        if revision <= self.endpoints_revision:
+            return False
         listed = {entry.name: entry for entry in entries}
+        if listed == {name: row.entry for name, row in self.rows.items() if not row.gone}:
+            return False
+        self.endpoints_revision = revision
         for name, entry in listed.items():
             self._take_entry(name, entry)
+        now = trio.current_time()
+        for name, row in self.rows.items():
+            if name not in listed and row.missing_since is None:
+                row.missing_since = now
+        self.expire_endpoints(now)
+        self.wake()
+        return True
+
+    def expire_endpoints(self, now: float) -> None:
+        """Give up the endpoints that have been missing from the list for long enough."""
         for name, row in self.rows.items():
-            if name not in listed and not row.gone:
+            if not row.gone and row.is_taken_as_gone(now):
                 row.gone = True
                 self.log.change("endpoint_gone", endpoint=name, group=row.entry.group)
-        self.wake()
+                self.wake()
 
     def _take_entry(self, name: str, entry: EndpointEntry) -> None:
         row = self.rows.get(name)
@@ -113,13 +131,14 @@
             self.log.change("endpoint_found", endpoint=name, group=entry.group, leads=entry.leads)
         row.entry = entry
         row.gone = False
+        row.missing_since = None
         if entry.leaving and row.leaving_since is None:
             row.leaving_since = trio.current_time()
             self.log.change("endpoint_leaving", endpoint=name, group=entry.group)
         elif not entry.leaving:
             row.leaving_since = None
 
-    def _share_of(self, row: EndpointRow):  # type: ignore[no-untyped-def]
+    def _share_of(self, row: EndpointRow) -> Callable[[], int]:
         def share() -> int:
             limits = self.configuration.groups.get(row.entry.group)
             most = limits.max_connections if limits is not None else 1
@@ -187,6 +206,10 @@
             return True
         return trio.current_time() - row.unreachable_since < PRIMARY_EXPECTED_S
 
+    def is_usable(self, row: EndpointRow) -> bool:
+        """Return whether a statement sent to ``row`` now is likely to be answered."""
+        return not row.is_suspect(trio.current_time()) or self.way_to(row) is not None
+
     def way_to(self, row: EndpointRow) -> str | None:
         """Return the address of a box through which ``row`` is reached, if one is known."""
         return self.pools[row.name].via
@@ -215,9 +238,7 @@
         if position is not None and self.may_acknowledge(row):
             self.points(row.entry.group).add(FreshPoint(asked_at, position))
 
-    def learn_refusal(
-        self, row: EndpointRow, refusal: Refusal, after: LogPosition | None
-    ) -> None:
+    def learn_refusal(self, row: EndpointRow, refusal: Refusal, after: LogPosition | None) -> None:
         """Note what an endpoint's refusal tells of it."""
         self.counters[f"endpoint_refused.{refusal.kind.value}"] += 1
         match refusal.kind:
@@ -261,7 +282,7 @@
         with trio.move_on_after(ROLL_BACK_TIMEOUT_S):
             try:
                 reply = await connection.ask(EndpointQuery(Rollback()))
-            except Exception as error:  # noqa: BLE001 - the connection is closed below
+            except Exception as error:
                 self.log.event("rollback_failed", endpoint=connection.pool.row.name, why=str(error))
             else:
                 connection.release(reply.state)
--- a/wharftiller/daemons/sessions/statements.py
+++ b/wharftiller/daemons/sessions/statements.py
@@ -69,7 +69,7 @@
 """Time kept to answer before a statement's time-out, in seconds."""
 
 
-class _Failed(Exception):  # noqa: N818 - ends a statement, is no error of this box
+class _Failed(Exception):
     """A statement that ends with a refusal."""
 
     def __init__(self, kind: RefusalKind, detail: str) -> None:
@@ -297,9 +297,7 @@
             self.end_transaction(session)
             if reply.refusal is not None and reply.refusal.has_not_run:
                 detail = f"{row.name} did not run the commit; it was rolled back"
-                return refused(
-                    RefusalKind.ROLLED_BACK, self._come_back(detail), SessionState.IDLE
-                )
+                return refused(RefusalKind.ROLLED_BACK, self._come_back(detail), SessionState.IDLE)
             return attrs.evolve(reply, state=SessionState.IDLE)
         session.transaction = None
         self._state.transaction_ended(group)
@@ -352,7 +350,7 @@
                 if trio.current_time() > until - BUSY_PAUSE_S:
                     break
                 await trio.sleep(BUSY_PAUSE_S)
-            detail = f"{row.name} did not take it: {reply.refusal.detail}"
+            detail = f"{row.name} did not take it"
             raise _Failed(RefusalKind.NO_CAPACITY, self._come_back(detail))
         finally:
             self._state.write_ended(route.group)
@@ -503,9 +501,8 @@
         with trio.move_on_at(hold_until):
             while True:
                 row = state.startable(route.group)
-                if row is not None and not row.gone:
-                    if not row.is_suspect(trio.current_time()) or state.way_to(row) is not None:
-                        return row
+                if row is not None and state.is_usable(row):
+                    return row
                 if not state.primary_expected(route.group):
                     break
                 await state.leadership_changed()
--- a/wharftiller/edges/leadership_json.py
+++ b/wharftiller/edges/leadership_json.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from wharftiller.core.errors import BadRequestError
-from wharftiller.core.leadership.record import Leading, LeadershipRecord, Moving
+from wharftiller.core.leadership.record import LeadershipRecord, Leading, Moving
 
 if TYPE_CHECKING:
     from wharftiller.core.leadership.record import GroupLeadership
--- a/wharftiller/platform/__main__.py
+++ b/wharftiller/platform/__main__.py
@@ -13,20 +13,14 @@
 from wharftiller.daemons.sessions.proxy import BoxIdentity, SessionProxy
 from wharftiller.decisions import DecisionLog
 from wharftiller.edges.http_server import HttpRequest, HttpResponse, serve_stream
-from wharftiller.edges.transport import TcpTransport
+from wharftiller.edges.transport import Handler, TcpTransport
 from wharftiller.platform.callers import CallerServer
 from wharftiller.platform.duties import PlatformPromotions
 from wharftiller.platform.endpoints import LineDialer
-from wharftiller.platform.objects import (
-    CONFIGURATION_KIND,
-    CONFIGURATION_NAME,
-    ENDPOINT_KIND,
-    SharedPlatformObjects,
-    decode_configuration,
-    decode_endpoints,
-)
+from wharftiller.platform.feeds import PlatformFeeds
+from wharftiller.platform.objects import SharedPlatformObjects, decode_configuration
 from wharftiller.platform.settings import ProcessSettings, load_settings
-from wharftiller.platform.store import ObjectStore, StoredObject
+from wharftiller.platform.store import ObjectStore
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -62,6 +56,7 @@
                 self._transport,
                 LineDialer(self._transport, settings.box),
                 SharedPlatformObjects(store, self._log),
+                lambda state, missed: PlatformFeeds(store, state, missed, self._log),
                 PlatformPromotions(self._transport, settings.duties),
                 self._log,
                 decode_configuration,
@@ -73,8 +68,6 @@
             await nursery.start(self._transport.serve, settings.ready, self._answer_ready(proxy))
             await nursery.start(self._transport.serve, settings.boxes, self._answer_boxes(proxy))
             proxy.start()
-            nursery.start_soon(self._follow_configuration, store, proxy)
-            nursery.start_soon(self._follow_endpoints, store, proxy)
             await self._until_told_to_stop()
             await proxy.stop()
             nursery.cancel_scope.cancel()
@@ -98,7 +91,7 @@
             return
         self._log.change("settings_reloaded", differ=changed)
 
-    def _answer_ready(self, proxy: SessionProxy):  # type: ignore[no-untyped-def]
+    def _answer_ready(self, proxy: SessionProxy) -> Handler:
         async def handle(request: HttpRequest) -> HttpResponse:
             if request.path != READY_PATH:
                 return HttpResponse(404, {"error": f"ask {READY_PATH}"})
@@ -109,32 +102,12 @@
 
         return serve
 
-    def _answer_boxes(self, proxy: SessionProxy):  # type: ignore[no-untyped-def]
+    def _answer_boxes(self, proxy: SessionProxy) -> Handler:
         async def serve(stream: trio.abc.Stream) -> None:
             await serve_stream(stream, proxy.handle_box)
 
         return serve
 
-    async def _follow_configuration(self, store: ObjectStore, proxy: SessionProxy) -> None:
-        def take(objects: dict[str, StoredObject]) -> None:
-            stored = objects.get(CONFIGURATION_NAME)
-            if stored is None:
-                return
-            try:
-                configuration = decode_configuration(stored.spec)
-            except (KeyError, TypeError, ValueError, AttributeError) as error:
-                self._log.change("configuration_not_understood", why=repr(error))
-                return
-            proxy.state.take_configuration(configuration, "platform")
-
-        await store.follow(CONFIGURATION_KIND, take)
-
-    async def _follow_endpoints(self, store: ObjectStore, proxy: SessionProxy) -> None:
-        def take(objects: dict[str, StoredObject]) -> None:
-            proxy.state.take_endpoints(decode_endpoints(objects, self._log))
-
-        await store.follow(ENDPOINT_KIND, take)
-
 
 def main() -> None:
     """Run the process."""
--- /dev/null
+++ b/wharftiller/platform/feeds.py
@@ -0,0 +1,162 @@
+"""Follow the operator's configuration and the endpoints in the platform's objects."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from wharftiller.core.errors import PlatformUnavailableError
+from wharftiller.platform.objects import (
+    CONFIGURATION_KIND,
+    CONFIGURATION_NAME,
+    ENDPOINT_KIND,
+    decode_configuration,
+    decode_endpoints,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wharftiller.daemons.sessions.state import SharedState
+    from wharftiller.decisions import DecisionLog
+    from wharftiller.edges.http_client import HttpClient
+    from wharftiller.platform.store import ObjectStore, StoredObject
+
+AGAIN_S = 0.4
+"""Time before a failed watch or list is asked for again, in seconds; doubles each time."""
+
+AGAIN_MOST_S = 1.6
+"""Longest time between tries while the platform is away, in seconds."""
+
+GATHER_S = 0.15
+"""Time to gather further changes before a watch is asked for again, in seconds."""
+
+MISSED_AFTER_S = 0.3
+"""Time after which a change that the watch has not told counts as missed, in seconds."""
+
+Objects = dict[str, "StoredObject"]
+
+
+class KindFollower:
+    """Follows the objects of one kind by list and watch.
+
+    Parameters
+    ----------
+    take : callable
+        Called with all objects and the revision they stand at; returns whether
+        anything changed.
+    missed : callable
+        Called when a change was found that the watch did not tell.
+    """
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        kind: str,
+        take: Callable[[Objects, int], bool],
+        missed: Callable[[], None],
+        log: DecisionLog,
+    ) -> None:
+        self._store = store
+        self._kind = kind
+        self._take = take
+        self._missed = missed
+        self._log = log
+        self._watching: trio.CancelScope | None = None
+        self._verified = 0
+        self._revision = 0
+
+    async def run(self) -> None:
+        """Follow for ever."""
+        client = self._store.new_client()
+        pause_s = AGAIN_S
+        objects: Objects | None = None
+        while True:
+            try:
+                if objects is None:
+                    objects = await self._list()
+                with trio.CancelScope() as self._watching:
+                    objects = await self._next(client, objects)
+                if self._watching.cancelled_caught:
+                    objects = None
+                self._watching = None
+                pause_s = AGAIN_S
+            except PlatformUnavailableError as error:
+                self._log.event("watch_failed", kind=self._kind, why=str(error))
+                await trio.sleep(pause_s)
+                pause_s = min(AGAIN_MOST_S, pause_s * 2)
+
+    async def _list(self) -> Objects:
+        objects, self._revision = await self._store.list_all(self._kind)
+        self._verified = max(self._verified, self._revision)
+        if self._take(objects, self._revision):
+            self._missed()
+        return objects
+
+    async def _next(self, client: HttpClient, objects: Objects) -> Objects | None:
+        """Return the objects after the next change; None if they must be read anew."""
+        changes, revision, lost = await self._store.watch(client, self._kind, self._revision)
+        if lost:
+            self._log.change("watch_history_lost", kind=self._kind)
+            return None
+        self._revision = revision
+        for gone, changed in changes:
+            if gone:
+                objects.pop(changed.name, None)
+            else:
+                objects[changed.name] = changed
+        if changes:
+            self._take(dict(objects), revision)
+            await trio.sleep(GATHER_S)
+        return objects
+
+    async def verify(self, revision: int) -> None:
+        """Read anew unless the watch tells of ``revision`` shortly."""
+        if revision <= max(self._verified, self._revision):
+            return
+        self._verified = revision
+        await trio.sleep(MISSED_AFTER_S)
+        if self._revision < revision and self._watching is not None:
+            self._watching.cancel()
+
+
+class PlatformFeeds:
+    """Brings configuration and endpoints into a session proxy's state."""
+
+    def __init__(
+        self, store: ObjectStore, state: SharedState, missed: Callable[[], None], log: DecisionLog
+    ) -> None:
+        self._state = state
+        self._log = log
+        self._nursery: trio.Nursery | None = None
+        self._followers = [
+            KindFollower(store, CONFIGURATION_KIND, self._take_configuration, missed, log),
+            KindFollower(store, ENDPOINT_KIND, self._take_endpoints, missed, log),
+        ]
+
+    def start(self, nursery: trio.Nursery) -> None:
+        """Start to follow both kinds."""
+        self._nursery = nursery
+        for follower in self._followers:
+            nursery.start_soon(follower.run)
+
+    def noticed(self, revision: int) -> None:
+        """Read anew what was not heard of up to the platform's ``revision``."""
+        assert self._nursery is not None
+        for follower in self._followers:
+            self._nursery.start_soon(follower.verify, revision)
+
+    def _take_configuration(self, objects: Objects, revision: int) -> bool:
+        stored = objects.get(CONFIGURATION_NAME)
+        if stored is None:
+            return False
+        try:
+            configuration = decode_configuration(stored.spec)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            self._log.change("configuration_not_understood", revision=revision, why=repr(error))
+            return False
+        return self._state.take_configuration(configuration, "platform")
+
+    def _take_endpoints(self, objects: Objects, revision: int) -> bool:
+        return self._state.take_endpoints(decode_endpoints(objects, self._log), revision)
--- a/wharftiller/platform/objects.py
+++ b/wharftiller/platform/objects.py
@@ -133,7 +133,7 @@
 
     async def read(self) -> SharedListing:
         """Read everything as it stands now."""
-        objects, _ = await self._store.list(OWN_KIND)
+        objects, revision = await self._store.list_all(OWN_KIND)
         boxes: dict[str, Box] = {}
         record = LeadershipRecord()
         for name, stored in objects.items():
@@ -143,11 +143,11 @@
                 box = self._decode_box(stored)
                 if box is not None:
                     boxes[box.name] = box
-        return SharedListing(record, boxes)
+        return SharedListing(record, boxes, revision)
 
     def _decode_box(self, stored: StoredObject) -> Box | None:
         try:
-            return Box(**{key: str(stored.spec[key]) for key in Box.__slots__ if key[0] != "_"})
+            return Box(**{field.name: str(stored.spec[field.name]) for field in attrs.fields(Box)})
         except (KeyError, TypeError) as error:
             self._log.event("box_not_understood", name=stored.name, why=repr(error))
             return None
--- a/wharftiller/platform/store.py
+++ b/wharftiller/platform/store.py
@@ -2,12 +2,10 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any
 from urllib.parse import quote
 
 import attrs
-import trio
 
 from wharftiller.core.errors import ExchangeError, PlatformUnavailableError
 from wharftiller.edges.http_client import HttpClient
@@ -25,12 +23,6 @@
 WATCH_SLACK_S = 3.0
 """Time that a watch's answer may take beyond its wait, in seconds."""
 
-AGAIN_S = 0.4
-"""Time before a failed watch or list is asked for again, in seconds; doubles up to `AGAIN_MOST_S`."""
-
-AGAIN_MOST_S = 1.6
-"""Longest time between tries while the platform is away, in seconds."""
-
 GATHER_S = 0.15
 """Time to gather further changes before a watch is asked for again, in seconds."""
 
@@ -80,7 +72,11 @@
             raise PlatformUnavailableError(f"{method} {path}: answered {answer.status}")
         return answer.status, value
 
-    async def list(self, kind: str) -> tuple[dict[str, StoredObject], int]:
+    def new_client(self) -> HttpClient:
+        """Return a connection of its own, for watches."""
+        return HttpClient(self._transport, self._address)
+
+    async def list_all(self, kind: str) -> tuple[dict[str, StoredObject], int]:
         """Return all objects of a kind by name, and the revision they stand at."""
         found: dict[str, StoredObject] = {}
         query = ""
@@ -120,36 +116,7 @@
         """Remove an object; it is no error if it is gone already."""
         await self._call("DELETE", f"/v1/objects/{kind}/{name}")
 
-    async def follow(
-        self, kind: str, take: Callable[[dict[str, StoredObject]], Awaitable[None] | None]
-    ) -> None:
-        """Call ``take`` with all objects of a kind, now and after each change, for ever."""
-        client = HttpClient(self._transport, self._address)
-        pause_s = AGAIN_S
-        objects: dict[str, StoredObject] | None = None
-        revision = 0
-        while True:
-            try:
-                if objects is None:
-                    objects, revision = await self.list(kind)
-                    take(dict(objects))
-                changes, revision, lost = await self._watch(client, kind, revision)
-                pause_s = AGAIN_S
-            except PlatformUnavailableError as error:
-                self._log.event("watch_failed", kind=kind, why=str(error))
-                await trio.sleep(pause_s)
-                pause_s = min(AGAIN_MOST_S, pause_s * 2)
-                continue
-            if lost:
-                self._log.change("watch_history_lost", kind=kind)
-                objects = None
-                continue
-            if changes:
-                _apply(objects, changes)
-                take(dict(objects))
-                await trio.sleep(GATHER_S)
-
-    async def _watch(
+    async def watch(
         self, client: HttpClient, kind: str, revision: int
     ) -> tuple[list[tuple[bool, StoredObject]], int, bool]:
         """Wait for changes; the last value tells whether the history is gone."""
@@ -170,14 +137,6 @@
             raise PlatformUnavailableError(f"a change of {kind} is unusable: {error!r}") from None
 
 
-def _apply(objects: dict[str, StoredObject], changes: list[tuple[bool, StoredObject]]) -> None:
-    for gone, changed in changes:
-        if gone:
-            objects.pop(changed.name, None)
-        else:
-            objects[changed.name] = changed
-
-
 def _parse_page(status: int, value: Any) -> tuple[list[StoredObject], int, bool]:
     if status == 404:
         return [], 0, False
@@ -201,5 +160,3 @@
         return StoredObject(str(meta["Name"]), int(meta["Revision"]), value.get("spec"))
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise PlatformUnavailableError(f"an object is unusable: {error!r}") from None
-
-
