Let every box read the platform when no read is known to be recent

Ruled out: a watch that skipped a revision (all boxes told history lost at once). Change: rounds tell the age of the newest read and whether the platform answers; the reader is chosen among those it answers, and a box that knows no read younger than 1.9 s reads itself. With it: a stand-in of the object store, of line endpoints, and the whole path in virtual time.

--- /dev/null
+++ b/standins/line_endpoints.py
@@ -0,0 +1,288 @@
+"""Database groups that speak the platform's lines: logs, lag, promotion, cuts, freezes.
+
+Asynchronous: a write is acknowledged once the primary has it; replicas receive it
+`lag_s` later. Every answer carries a proof that names the server, the statement's
+id and its text, so that a test can tell whose answer a caller got.
+"""
+
+from __future__ import annotations
+
+import zlib
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+if TYPE_CHECKING:
+    from wharftiller.edges.transport import Transport
+
+
+@attrs.frozen
+class Record:
+    """One committed transaction in a log."""
+
+    term: int
+    number: int
+    writes: tuple[tuple[str, str], ...]
+    request_id: str
+
+
+@attrs.define(eq=False)
+class LineServer:
+    """One server of a group.
+
+    Attributes
+    ----------
+    log : list of Record
+        What it has received.
+    deaf : bool
+        Whether it receives nothing.
+    """
+
+    name: str
+    group: LineGroup
+    address: str
+    data_centre: str
+    leads: bool = False
+    term: int = 1
+    log: list[Record] = attrs.field(factory=list)
+    deaf: bool = False
+    leaving: bool = False
+    down: bool = False
+    connections: int = 0
+    opened: int = 0
+    busy_answers: int = 0
+    lose_answers: int = 0
+    started: list[str] = attrs.field(factory=list)
+
+    @property
+    def position(self) -> str:
+        """End of its log, as written in lines."""
+        last = self.log[-1] if self.log else Record(1, 0, (), "")
+        return f"{last.term}.{last.number}"
+
+    def holds(self, position: str) -> bool:
+        """Return whether its log reaches ``position``."""
+        term, number = (int(part) for part in position.split("."))
+        last = self.log[-1] if self.log else Record(1, 0, (), "")
+        return (last.term, last.number) >= (term, number)
+
+    def value(self, thing: str) -> str:
+        """Return what was last written to ``thing``."""
+        for record in reversed(self.log):
+            for name, data in reversed(record.writes):
+                if name == thing:
+                    return data
+        return "none"
+
+
+@attrs.define(eq=False)
+class LineGroup:
+    """A group of servers and its replication."""
+
+    name: str
+    max_connections: int = 20
+    lag_s: float = 0.02
+    work_s: float = 0.01
+    promote_s: float = 0.3
+    servers: list[LineServer] = attrs.field(factory=list)
+    acknowledged: list[Record] = attrs.field(factory=list)
+    stale_reads: list[str] = attrs.field(factory=list)
+    promotions: list[tuple[str, str, int]] = attrs.field(factory=list)
+    nursery: trio.Nursery | None = None
+
+    @property
+    def primary(self) -> LineServer:
+        """The server that leads the newest term."""
+        return max((each for each in self.servers if each.leads), key=lambda each: each.term)
+
+    def commit(
+        self, server: LineServer, writes: tuple[tuple[str, str], ...], request_id: str
+    ) -> Record:
+        """Append a transaction to a server's log and send it to the others."""
+        number = (server.log[-1].number if server.log else 0) + 1
+        record = Record(server.term, number, writes, request_id)
+        server.log.append(record)
+        assert self.nursery is not None
+        self.nursery.start_soon(self._replicate, server, record)
+        return record
+
+    async def _replicate(self, source: LineServer, record: Record) -> None:
+        await trio.sleep(self.lag_s)
+        for server in self.servers:
+            if server is source or server.leads or server.deaf or source.down or server.down:
+                continue
+            if source.term == self.primary.term:
+                server.log = list(source.log)
+                server.term = source.term
+
+    async def promote(self, name: str, holder: str, fence: int) -> bool:
+        """Have a server lead the next term with what it has received."""
+        server = next((each for each in self.servers if each.name == name), None)
+        if server is None or server.down:
+            return False
+        self.promotions.append((name, holder, fence))
+        if server.leads and server is self.primary:
+            return True
+        await trio.sleep(self.promote_s)
+        server.term = max(each.term for each in self.servers) + 1
+        server.leads = True
+        for other in self.servers:
+            if not other.leads and not other.deaf and not other.down:
+                other.log = list(server.log)
+                other.term = server.term
+        return True
+
+
+@attrs.define
+class _Open:
+    """What is set on one connection to a server."""
+
+    values: dict[str, str] = attrs.field(factory=dict)
+    prepared: dict[str, tuple[str, str]] = attrs.field(factory=dict)
+    state: str = "I"
+    read_only: bool = False
+    writes: list[tuple[str, str]] = attrs.field(factory=list)
+    term: int = 0
+
+
+def proof(server: LineServer, request_id: str, text: str) -> str:
+    """Return the proof of a success."""
+    check = zlib.crc32(f"{server.name} {request_id} {text}".encode())
+    return f"{server.name}.{request_id}.{check:08x}"
+
+
+async def serve_server(
+    server: LineServer, transport: Transport, task_status: trio.TaskStatus[str]
+) -> None:
+    """Serve one server's address."""
+
+    async def handle(stream: trio.abc.Stream) -> None:
+        server.connections += 1
+        try:
+            await _serve_connection(server, stream)
+        finally:
+            server.connections -= 1
+
+    await transport.serve(server.address, handle, task_status)
+
+
+async def _serve_connection(server: LineServer, stream: trio.abc.Stream) -> None:
+    buffer = b""
+    state: _Open | None = None
+    while True:
+        while b"\r\n" not in buffer:
+            data = await stream.receive_some()
+            if not data:
+                return
+            buffer += data
+        line, buffer = buffer.split(b"\r\n", 1)
+        text = line.decode()
+        if state is None:
+            _, group, _, name = text.split(" ")
+            if group != server.group.name or name != server.name:
+                await stream.send_all(b"ERROR MISROUTED another server\r\n")
+                return
+            if server.connections > server.group.max_connections:
+                await stream.send_all(b"ERROR OVERLOAD too many\r\n")
+                return
+            server.opened += 1
+            state = _Open()
+            await stream.send_all(f"READY I {server.position}\r\n".encode())
+            continue
+        _, request_id, statement = text.split(" ", 2)
+        lines = await _run(server, state, request_id, statement)
+        if server.lose_answers and request_id != "-":
+            server.lose_answers -= 1
+            return
+        answer = "".join(f"{each}\r\n" for each in lines)
+        await stream.send_all(f"{answer}READY {state.state} {server.position}\r\n".encode())
+
+
+async def _run(server: LineServer, state: _Open, request_id: str, text: str) -> list[str]:
+    if text.startswith("AFTER "):
+        _, position, text = text.split(" ", 2)
+        if not server.holds(position):
+            return [f"ERROR LAGGING {server.name}"]
+    words = text.split(" ")
+    own = _session_statement(server, state, words)
+    if own is not None:
+        return own
+    if state.state == "E" and words[0] not in ("COMMIT", "ROLLBACK"):
+        return ["ERROR MALFORMED the transaction failed"]
+    match words:
+        case ["BEGIN", *rest]:
+            state.read_only = rest == ["READ"]
+            if not state.read_only and not server.leads:
+                return [f"ERROR READONLY {server.name}"]
+            state.state, state.writes, state.term = "T", [], server.term
+            return ["COMPLETE -"]
+        case ["ROLLBACK"]:
+            state.state, state.writes = "I", []
+            return ["COMPLETE -"]
+        case _:
+            return await _work(server, state, request_id, text)
+
+
+def _session_statement(server: LineServer, state: _Open, words: list[str]) -> list[str] | None:
+    """Run what neither needs a slot nor depends on a transaction; None for the rest."""
+    match words:
+        case ["STATUS"]:
+            role = "primary" if server.leads else "replica"
+            row = f"ROW {role} {server.term} {server.position} 0 0 0 {server.connections}"
+            return [row, "COMPLETE -"]
+        case ["SET", name, *rest]:
+            state.values[name] = " ".join(rest)
+            return ["COMPLETE -"]
+        case ["PREPARE", name, access, shape]:
+            state.prepared[name] = (access, shape)
+            return ["COMPLETE -"]
+        case ["RESET"]:
+            state.values.clear()
+            state.prepared.clear()
+            return ["COMPLETE -"]
+        case ["DEMOTE", term]:
+            if server.leads and server.term < int(term):
+                server.leads = False
+                server.log = list(server.group.primary.log)
+                server.term = server.group.primary.term
+            return ["COMPLETE -"]
+        case _:
+            return None
+
+
+async def _work(server: LineServer, state: _Open, request_id: str, text: str) -> list[str]:
+    """Run what needs a slot: reads, writes and commits."""
+    if server.busy_answers:
+        server.busy_answers -= 1
+        return ["ERROR BUSY all slots are taken"]
+    await trio.sleep(server.group.work_s)
+    server.started.append(request_id)
+    done = f"COMPLETE {proof(server, request_id, text)}"
+    words = text.split(" ")
+    if words[0] == "EXECUTE":
+        if words[1] not in state.prepared:
+            return ["ERROR NOSTMT unknown"]
+        words = [state.prepared[words[1]][0], *words[2:]]
+    match words:
+        case ["READ", thing, *_]:
+            values = ",".join(f"{k}={v}" for k, v in sorted(state.values.items()))
+            return [f"ROW {server.value(thing)} {values}".rstrip(), done]
+        case ["WRITE", thing, data]:
+            if not server.leads or (state.state == "T" and state.read_only):
+                state.state = "E" if state.state == "T" else "I"
+                return [f"ERROR READONLY {server.name}"]
+            if state.state == "T":
+                state.writes.append((thing, data))
+            else:
+                server.group.commit(server, ((thing, data),), request_id)
+            return ["ROW written", done]
+        case ["COMMIT"]:
+            writes, state.writes, state.state = tuple(state.writes), [], "I"
+            if writes and not server.leads:
+                return [f"ERROR READONLY {server.name}"]
+            if writes:
+                server.group.commit(server, writes, request_id)
+            return [done]
+        case _:
+            return ["ERROR MALFORMED no such statement"]
--- /dev/null
+++ b/standins/object_store.py
@@ -0,0 +1,182 @@
+"""The platform's objects over HTTP: conditional changes, watches, outages, lost answers."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import orjson
+import trio
+
+from wharftiller.edges.http_server import HttpRequest, HttpResponse, serve_stream
+
+if TYPE_CHECKING:
+    from standins.line_endpoints import LineGroup
+    from wharftiller.edges.transport import Transport
+
+
+class Mood(enum.Enum):
+    """How the store answers."""
+
+    WELL = "well"
+    AWAY = "away"
+    BUSY = "busy"
+
+
+@attrs.define
+class _Change:
+    revision: int
+    gone: bool
+    kind: str
+    value: dict[str, Any]
+
+
+class ObjectStoreStandIn:
+    """Objects with one revision for all, and the promotions beside them.
+
+    Attributes
+    ----------
+    lose_answers : int
+        So many changes take effect and are not answered.
+    deaf_watches : bool
+        Whether watches tell nothing, as while history is compacted.
+    """
+
+    def __init__(self, groups: list[LineGroup]) -> None:
+        self._groups = {group.name: group for group in groups}
+        self._objects: dict[tuple[str, str], dict[str, Any]] = {}
+        self._changes: list[_Change] = []
+        self._forgotten = 0
+        self._changed = trio.Event()
+        self.revision = 0
+        self.mood = Mood.WELL
+        self.lose_answers = 0
+        self.deaf_watches = False
+        self.calls = 0
+
+    def set(self, kind: str, name: str, spec: Any) -> int:
+        """Write an object as the operator or a server does."""
+        self.revision += 1
+        old = self._objects.get((kind, name))
+        made = old["meta"]["CreatedRev"] if old else self.revision
+        meta: dict[str, Any] = {
+            "Name": name,
+            "Revision": self.revision,
+            "CreatedRev": made,
+            "Finalizers": [],
+        }
+        value = {"meta": meta, "spec": spec, "status": None}
+        self._objects[kind, name] = value
+        self._changes.append(_Change(self.revision, False, kind, value))
+        self._wake()
+        return self.revision
+
+    def remove(self, kind: str, name: str) -> None:
+        """Remove an object."""
+        value = self._objects.pop((kind, name), None)
+        if value is not None:
+            self.revision += 1
+            self._changes.append(_Change(self.revision, True, kind, value))
+            self._wake()
+
+    def spec(self, kind: str, name: str) -> Any:
+        """Return what an object holds, or None."""
+        value = self._objects.get((kind, name))
+        return value["spec"] if value else None
+
+    def forget_history(self) -> None:
+        """Answer watches from before now with 410."""
+        self._forgotten = self.revision
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+    async def serve(
+        self, transport: Transport, address: str, task_status: trio.TaskStatus[str]
+    ) -> None:
+        """Answer calls at ``address``."""
+
+        async def handle(stream: trio.abc.Stream) -> None:
+            await serve_stream(stream, self._answer)
+
+        await transport.serve(address, handle, task_status)
+
+    async def _answer(self, request: HttpRequest) -> HttpResponse:
+        self.calls += 1
+        if self.mood is Mood.AWAY:
+            await trio.sleep_forever()
+        if self.mood is Mood.BUSY:
+            return HttpResponse(503, {})
+        if request.path == "/promotion":
+            return await self._promote(request)
+        response = await self._objects_call(request)
+        if request.method != "GET" and self.lose_answers:
+            self.lose_answers -= 1
+            await trio.sleep_forever()
+        return response
+
+    async def _promote(self, request: HttpRequest) -> HttpResponse:
+        body = request.json()
+        group = self._groups[body["Service"]]
+        fence = int(request.headers["fence-token"])
+        running = await group.promote(body["Id"], request.headers["duty-holder"], fence)
+        return HttpResponse(200 if running else 409, {})
+
+    async def _objects_call(self, request: HttpRequest) -> HttpResponse:
+        _, _, _, kind, *rest = request.path.split("/")
+        match (request.method, rest):
+            case ("GET", []) if "Watch" in request.query:
+                return await self._watch(kind, request.query)
+            case ("GET", []):
+                items = [v for (k, _), v in sorted(self._objects.items()) if k == kind]
+                body = {"items": items, "MorePages": False, "CurrentRev": self.revision}
+                return HttpResponse(200, body)
+            case ("POST", []):
+                return self._create(kind, request.json())
+            case ("PUT", [name]):
+                return self._replace(kind, name, request.json())
+            case ("DELETE", [name]):
+                self.remove(kind, name)
+                return HttpResponse(200, {})
+            case _:
+                return HttpResponse(404, {})
+
+    def _create(self, kind: str, value: dict[str, Any]) -> HttpResponse:
+        name = value["meta"]["Name"]
+        if (kind, name) in self._objects:
+            return HttpResponse(409, self._objects[kind, name])
+        self.set(kind, name, value["spec"])
+        return HttpResponse(200, self._objects[kind, name])
+
+    def _replace(self, kind: str, name: str, value: dict[str, Any]) -> HttpResponse:
+        old = self._objects.get((kind, name))
+        if old is None:
+            return HttpResponse(404, {})
+        wanted = value["meta"].get("Revision")
+        if wanted is not None and wanted != old["meta"]["Revision"]:
+            return HttpResponse(409, old)
+        if orjson.dumps(old["spec"]) != orjson.dumps(value["spec"]):
+            self.set(kind, name, value["spec"])
+        return HttpResponse(200, self._objects[kind, name])
+
+    async def _watch(self, kind: str, query: dict[str, str]) -> HttpResponse:
+        since = int(query["Watch"])
+        with trio.move_on_after(int(query.get("WaitMs", "0")) / 1000):
+            while True:
+                if since < self._forgotten:
+                    return HttpResponse(410, {})
+                events = self._events(kind, since)
+                if events and not self.deaf_watches:
+                    return HttpResponse(200, {"events": events, "CurrentRev": self.revision})
+                await self._changed.wait()
+        return HttpResponse(200, {"events": [], "CurrentRev": self.revision})
+
+    def _events(self, kind: str, since: int) -> list[dict[str, Any]]:
+        return [
+            {"Tombstone": change.gone, "Object": change.value}
+            for change in self._changes
+            if change.kind == kind and change.revision > since
+        ]
--- a/wharftiller/daemons/sessions/boxes.py
+++ b/wharftiller/daemons/sessions/boxes.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -28,7 +29,7 @@
     from wharftiller.daemons.sessions.state import SharedState
     from wharftiller.edges.transport import Transport
 
-ROUND_S = 1.2
+ROUND_S = 1.0
 """Time between rounds, in seconds: a lease of 4 s survives two that fail."""
 
 ROUND_TIMEOUT_S = 0.7
@@ -40,6 +41,9 @@
 QUIET_WAIT_S = 1.0
 """Time for which writes under way may end before a planned change, in seconds."""
 
+NEVER_READ_S = 3600.0
+"""Age told of a read that never was, in seconds."""
+
 HEARD_RECENT_S = 1.0
 """A primary that answered within this time counts as heard, in seconds."""
 
@@ -62,9 +66,18 @@
 
 @attrs.frozen
 class BoxReply:
-    """One box's answer in a round."""
+    """One box's answer in a round.
+
+    Attributes
+    ----------
+    platform_answers : bool
+        Whether its last read of the platform was answered.
+    hears : frozenset of str
+        The endpoints that it hears.
+    """
 
     answer: RoundAnswer
+    platform_answers: bool
     incarnation: str
     version: int
     endpoints_revision: int
@@ -72,7 +85,15 @@
 
 
 class BoxDirectory:
-    """The other boxes, and this box's questions to them."""
+    """The other boxes, and this box's questions to them.
+
+    Attributes
+    ----------
+    platform_answers : bool
+        Whether this box's last read of the platform was answered.
+    platform_read_at : float
+        When the newest read that any box made and was answered was asked for.
+    """
 
     def __init__(self, state: SharedState, transport: Transport, incarnation: str) -> None:
         self._state = state
@@ -81,7 +102,8 @@
         self.incarnation = incarnation
         self.boxes: dict[str, Box] = {}
         self.replies: dict[str, BoxReply] = {}
-        self.answered_at: dict[str, float] = {}
+        self.platform_answers = False
+        self.platform_read_at = -math.inf
 
     def take_list(self, boxes: dict[str, Box]) -> None:
         """Take in the platform's list of the other boxes."""
@@ -127,7 +149,6 @@
         question = {"box": self._state.box, "revision": self._state.leases.record.revision}
         try:
             value = await self._post(box, "/peer/round", question, ROUND_TIMEOUT_S)
-            self.answered_at[box.name] = trio.current_time()
             return self._take_reply(box, value, asked_at)
         except (ExchangeError, BadRequestError) as error:
             self._state.log.event("box_did_not_answer", other=box.name, why=str(error))
@@ -142,8 +163,11 @@
                 self._take_point(group, lead, LogPosition(term, index), asked_at - age_ms / 1000)
             answer = RoundAnswer(box.name, bool(value["read"]), record)
             hears = frozenset(map(str, value["hears"]))
+            read_at = asked_at - int(value["read_age_ms"]) / 1000
+            self.platform_read_at = max(self.platform_read_at, read_at)
             return BoxReply(
                 answer,
+                bool(value["platform"]),
                 str(value["incarnation"]),
                 int(value["version"]),
                 int(value["endpoints_revision"]),
@@ -226,10 +250,10 @@
     """
 
     def __init__(
-        self, state: SharedState, incarnation: str, known: Callable[[], dict[str, Any]]
+        self, state: SharedState, directory: BoxDirectory, known: Callable[[], dict[str, Any]]
     ) -> None:
         self._state = state
-        self._incarnation = incarnation
+        self._directory = directory
         self._known = known
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
@@ -257,7 +281,9 @@
         record = state.leases.record
         newer = record.revision > question["revision"]
         return {
-            "incarnation": self._incarnation,
+            "incarnation": self._directory.incarnation,
+            "platform": self._directory.platform_answers,
+            "read_age_ms": self._read_age_ms(),
             "read": state.leases.read_from_platform,
             "revision": record.revision,
             "record": record_to_json(record) if newer else None,
@@ -267,6 +293,10 @@
             "hears": self._heard(),
         }
 
+    def _read_age_ms(self) -> int:
+        age_s = min(trio.current_time() - self._directory.platform_read_at, NEVER_READ_S)
+        return int(age_s * 1000) + 1
+
     def _points(self) -> dict[str, tuple[str, int, int, int]]:
         now = trio.current_time()
         told = {}
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -40,13 +40,22 @@
 Must stay well below the age that a round allows the list of boxes (12 s).
 """
 
-READER_READS_S = 1.0
+READER_READS_S = 0.8
 """Time between reads by the box that reads for all, in seconds.
 
-A third of the time in which a configuration must be in force (3 s): the rest is for
-a change that the platform's watches do not tell to be read and told to the others.
+A configuration must be in force within 3 s, also where the platform's watches do not
+tell it: this, `READ_KNOWN_S` for a reader that is cut off, and a read must fit in.
 """
 
+READ_KNOWN_S = 1.9
+"""Age of the newest read of any box from which a box reads for itself, in seconds.
+
+A reader's pause (0.8 s) and the time between rounds (1 s), and a margin.
+"""
+
+READ_LOOK_S = 0.1
+"""Time between looks at whether to read again, in seconds."""
+
 LEARN_AGAIN_S = 0.5
 """Time between questions to neighbours while nothing is configured, in seconds."""
 
@@ -112,7 +121,7 @@
         self.state = SharedState(identity.name, identity.data_centre, dialer, log, nursery)
         self.sessions = SessionServer(self.state, StatementRunner(self.state))
         self._directory = BoxDirectory(self.state, transport, incarnation)
-        self._box_server = BoxServer(self.state, incarnation, self._known)
+        self._box_server = BoxServer(self.state, self._directory, self._known)
         self._prober = Prober(self.state, nursery)
         self._mover = PrimaryMover(
             self.state,
@@ -167,17 +176,25 @@
     async def _read_for_ever(self) -> None:
         """Read the shared objects: often where no other box does it for this one."""
         while True:
+            started = trio.current_time()
             await self._read_shared()
-            with trio.move_on_after(SHARED_READ_S):
-                while True:
-                    await trio.sleep(READER_READS_S)
-                    if self._is_reader or not self._renewed:
-                        break
+            while not self._read_is_due(trio.current_time() - started):
+                await trio.sleep(READ_LOOK_S)
+
+    def _read_is_due(self, since_s: float) -> bool:
+        """Return whether to read again, ``since_s`` seconds after the last try."""
+        if since_s >= SHARED_READ_S:
+            return True
+        if since_s < READER_READS_S:
+            return False
+        read_at = self._directory.platform_read_at
+        return self._is_reader or not self._renewed or trio.current_time() - read_at > READ_KNOWN_S
 
     @property
     def _is_reader(self) -> bool:
         """Whether this box reads the platform for all that answer it."""
-        return turn_of(self._box.name, self._directory.replies, "reader") == 0
+        reading = [n for n, reply in self._directory.replies.items() if reply.platform_answers]
+        return turn_of(self._box.name, reading, "reader") == 0
 
     async def _read_shared(self) -> None:
         asked_at = trio.current_time()
@@ -193,8 +210,10 @@
             return
         self._platform_answered(True)
         self.take_listing(listing, asked_at)
-        if self._is_reader or not self._renewed:
+        reads_for_others = self._is_reader or not self._renewed
+        if reads_for_others or asked_at - self._directory.platform_read_at > READ_KNOWN_S:
             self._feeds.noticed(listing.revision)
+        self._directory.platform_read_at = max(self._directory.platform_read_at, asked_at)
 
     def take_listing(self, listing: SharedListing, asked_at: float) -> None:
         """Take in what was read from the platform, asked for at ``asked_at`` (seconds)."""
@@ -213,6 +232,7 @@
         self.state.wake()
 
     def _platform_answered(self, answers: bool, why: str = "") -> None:
+        self._directory.platform_answers = answers
         if self._platform_answers != answers:
             self._platform_answers = answers
             self._log.change("platform_back" if answers else "platform_lost", why=why)
--- a/wharftiller/decisions.py
+++ b/wharftiller/decisions.py
@@ -22,6 +22,8 @@
 from wharftiller.core.sessions.statements import RefusalKind
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from wharftiller.core.sessions.session import Session
     from wharftiller.core.sessions.statements import Reply, Statement
 
@@ -45,9 +47,16 @@
 
 
 class DecisionLog:
-    """The log of one process."""
+    """The log of one process.
+
+    Parameters
+    ----------
+    write : callable
+        Writes bytes and returns how many it took; raises `BlockingIOError` if none.
+    """
 
-    def __init__(self, part: str, box: str) -> None:
+    def __init__(self, part: str, box: str, write: Callable[[bytes], int] | None = None) -> None:
+        self._write_out = _write_standard_output if write is None else write
         self._part = part
         self._box = box
         self._lines: collections.deque[str] = collections.deque(maxlen=BUFFER_LINES)
@@ -126,7 +135,7 @@
         if not self._pending:
             return
         try:
-            written = os.write(sys.stdout.fileno(), self._pending)
+            written = self._write_out(self._pending)
         except BlockingIOError:
             written = 0
         self._pending = self._pending[written:]
@@ -136,5 +145,9 @@
             self._pending = self._pending[:cut]
 
 
+def _write_standard_output(data: bytes) -> int:
+    return os.write(sys.stdout.fileno(), data)
+
+
 def _sampled(request_id: str) -> bool:
     return zlib.crc32(request_id.encode()) % SAMPLED_OF == 0
--- a/wharftiller/platform/__main__.py
+++ b/wharftiller/platform/__main__.py
@@ -13,7 +13,7 @@
 from wharftiller.daemons.sessions.proxy import BoxIdentity, SessionProxy
 from wharftiller.decisions import DecisionLog
 from wharftiller.edges.http_server import HttpRequest, HttpResponse, serve_stream
-from wharftiller.edges.transport import Handler, TcpTransport
+from wharftiller.edges.transport import TcpTransport
 from wharftiller.platform.callers import CallerServer
 from wharftiller.platform.duties import PlatformPromotions
 from wharftiller.platform.endpoints import LineDialer
@@ -23,7 +23,9 @@
 from wharftiller.platform.store import ObjectStore
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Awaitable, Callable
+
+    from wharftiller.edges.transport import Handler, Transport
 
 SETTINGS_VARIABLE = "WHARFTILLER_SETTINGS"
 DEFAULT_SETTINGS = "/etc/wharftiller/settings.json"
@@ -32,49 +34,63 @@
 
 
 class PlatformProcess:
-    """Composes the session proxy with the platform's edges."""
+    """Composes the session proxy with the platform's edges.
+
+    Parameters
+    ----------
+    path : str
+        Where the settings were read, to check them again when they change.
+    """
 
-    def __init__(self, settings: ProcessSettings, path: str) -> None:
+    def __init__(
+        self, settings: ProcessSettings, path: str, transport: Transport, log: DecisionLog
+    ) -> None:
         self._settings = settings
         self._path = path
-        self._log = DecisionLog("proxy", settings.box)
-        self._transport = TcpTransport()
+        self._log = log
+        self._transport = transport
+        self.proxy: SessionProxy | None = None
 
     async def run(self) -> None:
-        """Serve until told to stop."""
+        """Serve until a signal says to stop."""
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+            await self.serve(lambda: self._take_signals(signals))
+
+    async def serve(self, told_to_stop: Callable[[], Awaitable[None]]) -> None:
+        """Serve until ``told_to_stop`` returns and what was taken is answered."""
         settings = self._settings
-        store = ObjectStore(self._transport, settings.store, self._log)
         async with trio.open_nursery() as nursery:
-            proxy = SessionProxy(
-                BoxIdentity(
-                    settings.box,
-                    settings.data_centre,
-                    settings.boxes,
-                    settings.seeds,
-                    settings.grace_s,
-                ),
-                self._transport,
-                LineDialer(self._transport, settings.box),
-                SharedPlatformObjects(store, self._log),
-                lambda state, missed: PlatformFeeds(store, state, missed, self._log),
-                PlatformPromotions(self._transport, settings.duties),
-                self._log,
-                decode_configuration,
-                nursery,
-            )
+            proxy = self.proxy = self._compose(nursery)
             self._log.change("started", pid=os.getpid(), data_centre=settings.data_centre)
             callers = CallerServer(proxy)
             await nursery.start(self._transport.serve, settings.callers, callers.serve)
             await nursery.start(self._transport.serve, settings.ready, self._answer_ready(proxy))
             await nursery.start(self._transport.serve, settings.boxes, self._answer_boxes(proxy))
             proxy.start()
-            await self._until_told_to_stop()
+            await told_to_stop()
             await proxy.stop()
             nursery.cancel_scope.cancel()
 
-    async def _until_told_to_stop(self) -> None:
-        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            await self._take_signals(signals)
+    def _compose(self, nursery: trio.Nursery) -> SessionProxy:
+        settings = self._settings
+        store = ObjectStore(self._transport, settings.store, self._log)
+        return SessionProxy(
+            BoxIdentity(
+                settings.box,
+                settings.data_centre,
+                settings.boxes,
+                settings.seeds,
+                settings.grace_s,
+            ),
+            self._transport,
+            LineDialer(self._transport, settings.box),
+            SharedPlatformObjects(store, self._log),
+            lambda state, missed: PlatformFeeds(store, state, missed, self._log),
+            PlatformPromotions(self._transport, settings.duties),
+            self._log,
+            decode_configuration,
+            nursery,
+        )
 
     async def _take_signals(self, signals: AsyncIterator[int]) -> None:
         async for number in signals:
@@ -118,7 +134,8 @@
         print(error, file=sys.stderr)
         sys.exit(BAD_SETTINGS)
     os.set_blocking(sys.stdout.fileno(), False)
-    trio.run(PlatformProcess(settings, path).run)
+    log = DecisionLog("proxy", settings.box)
+    trio.run(PlatformProcess(settings, path, TcpTransport(), log).run)
 
 
 if __name__ == "__main__":
--- a/wharftiller/platform/feeds.py
+++ b/wharftiller/platform/feeds.py
@@ -32,7 +32,7 @@
 GATHER_S = 0.15
 """Time to gather further changes before a watch is asked for again, in seconds."""
 
-MISSED_AFTER_S = 0.3
+MISSED_AFTER_S = 0.2
 """Time after which a change that the watch has not told counts as missed, in seconds."""
 
 Objects = dict[str, "StoredObject"]
--- /dev/null
+++ b/wharftiller/tests/platform/test_whole_path.py
@@ -0,0 +1,212 @@
+"""The whole path on the platform's protocols: sessions, transactions, kinds of reading."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from standins.line_endpoints import proof
+from wharftiller.tests.platform.world import World, make_group, run_in_world
+
+
+class TestSessions:
+    def test_a_write_is_read_back_with_the_servers_own_proof(self) -> None:
+        async def story(world: World) -> None:
+            caller = await world.call(world.boxes["box-2"], "read_own_writes")
+            written = await caller.ask("WRITE seat7 anna", "id-1")
+            primary = world.groups[0].primary
+            assert written[1] == f"COMPLETE {proof(primary, 'id-1', 'WRITE seat7 anna')}"
+            read = await caller.ask("READ seat7", "id-2")
+            assert read[0] == "ROW anna"
+            assert read[1].startswith("COMPLETE ") and ".id-2." in read[1]
+
+        run_in_world(story)
+
+    def test_an_unknown_database_is_refused_and_closed(self) -> None:
+        async def story(world: World) -> None:
+            stream = await world.network.host("10.8.0.1").connect("10.1.0.1:1")
+            await stream.send_all(b"CONNECT nowhere desk\r\n")
+            assert (await stream.receive_some()).startswith(b"ERROR NODB ")
+            assert await stream.receive_some() == b""
+
+        run_in_world(story)
+
+    def test_values_and_prepared_names_of_sessions_never_mix(self) -> None:
+        async def story(world: World) -> None:
+            world.groups[0].max_connections = 5
+            box = world.boxes["box-1"]
+            one = await world.call(box, "primary")
+            other = await world.call(box, "primary")
+            await one.ask("SET colour red")
+            await one.ask("PREPARE s READ shape")
+            await other.ask("PREPARE s WRITE shape")
+            for number in range(4):
+                assert (await one.ask("EXECUTE s seat1"))[0].endswith("colour=red")
+                assert (await other.ask(f"EXECUTE s seat{number} x"))[0] == "ROW written"
+                assert "colour" not in (await other.ask("READ seat1"))[0]
+            await one.ask("SET colour blue")
+            assert (await one.ask("EXECUTE s seat1"))[0].endswith("colour=blue")
+
+        run_in_world(story)
+
+    def test_an_unknown_prepared_name_is_refused_without_running(self) -> None:
+        async def story(world: World) -> None:
+            caller = await world.call(world.boxes["box-1"], "primary")
+            assert (await caller.ask("EXECUTE none seat1"))[0].startswith("ERROR NOSTMT ")
+            assert (await caller.ask("READ seat1"))[0] == "ROW none"
+
+        run_in_world(story)
+
+
+class TestTransactions:
+    def test_commit_keeps_and_rollback_drops(self) -> None:
+        async def story(world: World) -> None:
+            caller = await world.call(world.boxes["box-1"], "primary")
+            assert (await caller.ask("BEGIN"))[-1] == "READY T -"
+            await caller.ask("WRITE seat1 anna")
+            done = await caller.ask("COMMIT", "commit-1")
+            assert ".commit-1." in done[0] and done[-1].startswith("READY I ")
+            await caller.ask("BEGIN")
+            await caller.ask("WRITE seat1 boris")
+            assert (await caller.ask("ROLLBACK"))[-1] == "READY I -"
+            assert (await caller.ask("READ seat1"))[0] == "ROW anna"
+
+        run_in_world(story)
+
+    def test_a_transaction_whose_server_closes_is_aborted_and_can_be_ended(self) -> None:
+        async def story(world: World) -> None:
+            caller = await world.call(world.boxes["box-1"], "primary")
+            await caller.ask("BEGIN")
+            await caller.ask("WRITE seat1 anna")
+            world.network.break_streams("10.2.0.1")
+            await trio.sleep(0.1)
+            failed = await caller.ask("WRITE seat2 anna")
+            assert failed[0].startswith("ERROR ABORTED ") and failed[-1] == "READY E -"
+            assert (await caller.ask("READ seat1"))[0].startswith("ERROR MALFORMED ")
+            assert (await caller.ask("COMMIT"))[0].startswith("ERROR ABORTED ")
+            assert (await caller.ask("READ seat1"))[0] == "ROW none"
+
+        run_in_world(story)
+
+    def test_a_lost_answer_to_commit_is_in_doubt(self) -> None:
+        async def story(world: World) -> None:
+            caller = await world.call(world.boxes["box-1"], "primary")
+            await caller.ask("BEGIN")
+            await caller.ask("WRITE seat1 anna")
+            world.groups[0].primary.lose_answers = 1
+            assert (await caller.ask("COMMIT"))[0].startswith("ERROR INDOUBT ")
+
+        run_in_world(story)
+
+    def test_a_callers_departure_rolls_back(self) -> None:
+        async def story(world: World) -> None:
+            caller = await world.call(world.boxes["box-1"], "primary")
+            await caller.ask("BEGIN")
+            await caller.ask("WRITE seat1 anna")
+            caller.close()
+            await trio.sleep(0.2)
+            other = await world.call(world.boxes["box-1"], "primary")
+            assert (await other.ask("READ seat1"))[0] == "ROW none"
+
+        run_in_world(story)
+
+    def test_a_transaction_that_rests_too_long_is_ended(self) -> None:
+        async def story(world: World) -> None:
+            caller = await world.call(world.boxes["box-1"], "primary")
+            await caller.ask("BEGIN")
+            await caller.ask("WRITE seat1 anna")
+            await trio.sleep(3.5)
+            assert (await caller.ask("COMMIT"))[0].startswith("ERROR ABORTED ")
+
+        run_in_world(story)
+
+
+class TestReads:
+    def test_bounded_reads_go_to_replicas(self) -> None:
+        async def story(world: World) -> None:
+            writer = await world.call(world.boxes["box-1"], "primary")
+            reader = await world.call(world.boxes["box-1"], "bounded_staleness")
+            await writer.ask("WRITE seat1 anna")
+            await trio.sleep(0.1)
+            before = len(world.groups[0].primary.started)
+            for _ in range(20):
+                assert (await reader.ask("READ seat1"))[0] == "ROW anna"
+                await trio.sleep(0.02)
+            assert len(world.groups[0].primary.started) - before <= 2
+
+        run_in_world(story)
+
+    def test_a_deaf_replica_never_answers_too_old_a_read(self) -> None:
+        async def story(world: World) -> None:
+            group = world.groups[0]
+            for replica in group.servers[1:]:
+                replica.deaf = True
+            writer = await world.call(world.boxes["box-1"], "primary")
+            reader = await world.call(world.boxes["box-2"], "bounded_staleness")
+            await writer.ask("WRITE seat1 anna")
+            await trio.sleep(1.6)
+            assert (await reader.ask("READ seat1"))[0] == "ROW anna"
+
+        run_in_world(story)
+
+    def test_a_session_sees_its_own_write_at_once(self) -> None:
+        async def story(world: World) -> None:
+            caller = await world.call(world.boxes["box-3"], "read_own_writes")
+            for number in range(10):
+                await caller.ask(f"WRITE seat1 guest{number}")
+                assert (await caller.ask("READ seat1"))[0] == f"ROW guest{number}"
+
+        run_in_world(story, groups=[make_group(lag_s=0.2)])
+
+    def test_a_read_only_transaction_runs_on_one_replica(self) -> None:
+        async def story(world: World) -> None:
+            caller = await world.call(world.boxes["box-1"], "bounded_staleness")
+            await (await world.call(world.boxes["box-1"], "primary")).ask("READ seat1")
+            await caller.ask("BEGIN READ")
+            servers = {
+                (await caller.ask("READ seat1"))[1].split(" ")[1].split(".")[0] for _ in range(5)
+            }
+            assert len(servers) == 1
+            assert (await caller.ask("COMMIT"))[-1].startswith("READY I ")
+
+        run_in_world(story)
+
+
+class TestConnections:
+    def test_connections_stay_within_the_servers_limit(self) -> None:
+        async def story(world: World) -> None:
+            group = world.groups[0]
+            callers = [
+                await world.call(box, "primary") for box in world.boxes.values() for _ in range(12)
+            ]
+
+            async def work(number: int) -> None:
+                for turn in range(6):
+                    answer = await callers[number].ask(f"WRITE seat{number} guest{turn}")
+                    assert answer[0] == "ROW written", answer
+
+            async with trio.open_nursery() as nursery:
+                for number in range(len(callers)):
+                    nursery.start_soon(work, number)
+            assert group.primary.connections <= group.max_connections
+            assert group.primary.opened <= group.max_connections + 4
+
+        run_in_world(story, groups=[make_group(max_connections=11)])
+
+    def test_calls_to_the_platform_stay_few_on_a_calm_minute(self) -> None:
+        async def story(world: World) -> None:
+            before = world.store.calls
+            await trio.sleep(60)
+            assert world.store.calls - before < 60 * 3
+
+        run_in_world(story)
+
+
+@pytest.mark.parametrize("text", ["", "SELECT 1", "WRITE", "SET x", "PREPARE s FROM y", "EXECUTE"])
+def test_a_text_that_is_no_statement_gets_a_clear_error(text: str) -> None:
+    async def story(world: World) -> None:
+        caller = await world.call(world.boxes["box-1"], "primary")
+        assert (await caller.ask(text))[0].startswith("ERROR MALFORMED ")
+        assert (await caller.ask("READ seat1"))[0] == "ROW none"
+
+    run_in_world(story, boxes=1)
--- /dev/null
+++ b/wharftiller/tests/platform/world.py
@@ -0,0 +1,258 @@
+"""Boxes, line endpoints and the object store on a network in memory, in virtual time."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import Any
+
+import attrs
+import trio
+import trio.testing
+
+from standins.line_endpoints import LineGroup, LineServer, serve_server
+from standins.network import FakeNetwork
+from standins.object_store import ObjectStoreStandIn
+from wharftiller.decisions import DecisionLog
+from wharftiller.platform.__main__ import PlatformProcess
+from wharftiller.platform.settings import ProcessSettings
+
+STORE = "10.9.0.1:80"
+GROUP = "seats"
+SETTLED_S = 3.0
+"""Time after which boxes know one another, the configuration and the primary."""
+
+
+def configuration(version: int, groups: list[LineGroup], **changes: Any) -> dict[str, Any]:
+    """Return an operator's document with one database a kind of reading and group."""
+    routes = []
+    for group in groups:
+        for kind in ("primary", "bounded_staleness", "read_own_writes"):
+            routes.append(
+                {
+                    "Name": f"r-{group.name}-{kind}",
+                    "Host": f"{group.name}-{kind}",
+                    "PathPrefix": "/",
+                    "Kind": kind,
+                    "TimeoutMs": 800,
+                    "LatencyGoalMs": 250,
+                    "Priority": 1,
+                    "Service": group.name,
+                    "MaxStalenessMs": 1500,
+                }
+            )
+    services = [
+        {"Name": group.name, "MaxConns": group.max_connections, "SyncReplicas": 0}
+        for group in groups
+    ]
+    document = {
+        "Version": version,
+        "Routes": routes,
+        "Services": services,
+        "Limits": {"TxIdleMs": 3000},
+    }
+    return {**document, **changes}
+
+
+class Caller:
+    """A caller's session on one box."""
+
+    def __init__(self, stream: trio.abc.Stream) -> None:
+        self._stream = stream
+        self._buffer = b""
+        self._asked = 0
+
+    async def line(self) -> str | None:
+        """Return the next line; None once the box has closed."""
+        while b"\r\n" not in self._buffer:
+            try:
+                data = await self._stream.receive_some()
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return None
+            if not data:
+                return None
+            self._buffer += data
+        line, self._buffer = self._buffer.split(b"\r\n", 1)
+        return line.decode()
+
+    async def send(self, data: bytes) -> None:
+        """Send bytes as they are."""
+        await self._stream.send_all(data)
+
+    async def ask(self, text: str, request_id: str | None = None) -> list[str]:
+        """Send a statement and return the lines of its answer."""
+        self._asked += 1
+        request_id = request_id or f"{id(self):x}{self._asked}"
+        await self.send(f"QUERY {request_id} {text}\r\n".encode())
+        lines: list[str] = []
+        while (line := await self.line()) is not None:
+            lines.append(line)
+            if line.startswith("READY"):
+                break
+        return lines
+
+    def close(self) -> None:
+        """Leave without a word."""
+        self._stream.close_now()  # type: ignore[attr-defined]
+
+
+@attrs.define(eq=False)
+class BoxProcess:
+    """One box's process and its log."""
+
+    name: str
+    ip: str
+    process: PlatformProcess
+    scope: trio.CancelScope
+    told: trio.Event
+    lines: bytearray = attrs.field(factory=bytearray)
+    ended: trio.Event = attrs.field(factory=trio.Event)
+
+    def events(self, name: str) -> list[dict[str, Any]]:
+        """Return the logged lines of one event."""
+        return [line for line in self.log() if line["event"] == name]
+
+    def log(self) -> list[dict[str, Any]]:
+        """Return every logged line."""
+        self.process._log.flush()
+        return [json.loads(line) for line in bytes(self.lines).splitlines()]
+
+
+class World:
+    """Everything on one network."""
+
+    def __init__(self, nursery: trio.Nursery, groups: list[LineGroup]) -> None:
+        self._nursery = nursery
+        self.network = FakeNetwork(lambda a, b: 0.001)
+        self.groups = groups
+        self.store = ObjectStoreStandIn(groups)
+        self.boxes: dict[str, BoxProcess] = {}
+        self._incarnations = 0
+
+    async def start(self) -> None:
+        """Start the store and the endpoints."""
+        store_host = self.network.host("10.9.0.1")
+        await self._nursery.start(self.store.serve, store_host, STORE)
+        for group in self.groups:
+            group.nursery = self._nursery
+            for server in group.servers:
+                await self.start_server(server)
+        self.store.set("config", "main", configuration(1, self.groups))
+
+    async def start_server(self, server: LineServer) -> None:
+        """Start a server and register it."""
+        server.down = False
+        ip = server.address.partition(":")[0]
+        await self._nursery.start(serve_server, server, self.network.host(ip))
+        self.register(server)
+
+    def register(self, server: LineServer) -> None:
+        """Write a server's own entry."""
+        spec = {
+            "Service": server.group.name,
+            "Address": server.address,
+            "Zone": server.data_centre,
+            "State": "draining" if server.leaving else "ready",
+            "DbRole": "primary" if server.leads else "replica",
+        }
+        self.store.set("servers", server.name, spec)
+
+    def kill_server(self, server: LineServer) -> None:
+        """End a server without a word; connections to it hang, as without power."""
+        server.down = True
+        ip = server.address.partition(":")[0]
+        others = [box.ip for box in self.boxes.values()] + ["10.9.0.1"]
+        self.network.cut([ip], others)
+
+    async def start_box(self, number: int, data_centre: str = "a") -> BoxProcess:
+        """Start a box."""
+        ip = f"10.1.0.{number}"
+        self._incarnations += 1
+        settings = ProcessSettings(
+            box=f"box-{number}",
+            data_centre=data_centre,
+            callers=f"{ip}:1",
+            ready=f"{ip}:2",
+            boxes=f"{ip}:3",
+            relay_port=4,
+            seeds=("10.1.0.1:3", "10.1.0.2:3"),
+            store=STORE,
+            duties=STORE,
+            grace_s=6.0,
+        )
+        lines = bytearray()
+
+        def write(data: bytes) -> int:
+            lines.extend(data)
+            return len(data)
+
+        log = DecisionLog("proxy", settings.box, write)
+        process = PlatformProcess(settings, "", self.network.host(ip), log)
+        box = BoxProcess(settings.box, ip, process, trio.CancelScope(), trio.Event(), lines)
+        self.boxes[box.name] = box
+        self._nursery.start_soon(self._run_box, box)
+        await trio.sleep(0.01)
+        return box
+
+    async def _run_box(self, box: BoxProcess) -> None:
+        try:
+            with box.scope:
+                await box.process.serve(box.told.wait)
+        finally:
+            box.ended.set()
+
+    async def kill_box(self, box: BoxProcess) -> None:
+        """End a box's process at once."""
+        box.scope.cancel()
+        await box.ended.wait()
+        self.network.kill(box.ip)
+        del self.boxes[box.name]
+
+    async def call(self, box: BoxProcess, kind: str, group: str = GROUP) -> Caller:
+        """Open a session and return it once it is ready."""
+        stream = await self.network.host("10.8.0.1").connect(f"{box.ip}:1")
+        caller = Caller(stream)
+        await caller.send(f"CONNECT {group}-{kind} desk\r\n".encode())
+        assert await caller.line() == "READY I -"
+        return caller
+
+
+def make_group(name: str = GROUP, network: int = 2, **changes: Any) -> LineGroup:
+    """Return a group of three servers, one in each data centre."""
+    group = LineGroup(name, **changes)
+    for number, data_centre in enumerate("abc"):
+        address = f"10.{network}.{number}.1:5"
+        server = LineServer(f"{name}-{number}", group, address, data_centre, leads=number == 0)
+        group.servers.append(server)
+    return group
+
+
+@asynccontextmanager
+async def running_world(
+    boxes: int = 3, groups: list[LineGroup] | None = None
+) -> AsyncIterator[World]:
+    """Run a world whose boxes know one another."""
+    async with trio.open_nursery() as nursery:
+        world = World(nursery, groups or [make_group()])
+        await world.start()
+        for number in range(1, boxes + 1):
+            await world.start_box(number, "abc"[(number - 1) % 3])
+        await trio.sleep(SETTLED_S)
+        yield world
+        nursery.cancel_scope.cancel()
+
+
+def run_in_world(
+    story: Callable[[World], Awaitable[None]],
+    *,
+    boxes: int = 3,
+    groups: list[LineGroup] | None = None,
+) -> None:
+    """Run ``story`` in virtual time."""
+
+    async def main() -> None:
+        async with running_world(boxes, groups) as world:
+            await story(world)
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
