Reach a primary through another box; tell metrics; keep every byte of a line

Cause: a box that is cut from a primary refused its writes for the length of the cut although other boxes reach it; a byte that is no UTF-8 ended a session's task and with it the process (found by a fuzz test over the decoders). Ruled out: promoting instead (it throws away acknowledged writes). Change: boxes connect one another to registered endpoints (relay); metrics are a page in the collectors' text format, its library loaded when first asked; lines keep bytes as they are; leases are checked by random histories.

--- a/wharftiller/daemons/sessions/boxes.py
+++ b/wharftiller/daemons/sessions/boxes.py
@@ -18,6 +18,7 @@
 from wharftiller.core.leadership.lease import RoundAnswer
 from wharftiller.core.leadership.record import Leading
 from wharftiller.core.positions import LogPosition
+from wharftiller.core.rendezvous import ranked
 from wharftiller.edges.http_client import HttpClient
 from wharftiller.edges.http_server import HttpRequest, HttpResponse
 from wharftiller.edges.leadership_json import record_from_json, record_to_json
@@ -54,12 +55,15 @@
 
     Attributes
     ----------
+    relay : str
+        Where it connects other boxes to endpoints.
     incarnation : str
         Id of its process; another one means that the former process is gone.
     """
 
     name: str
     address: str
+    relay: str
     incarnation: str
     data_centre: str
 
@@ -183,6 +187,20 @@
         if lead == self._state.lead(group):
             self._state.points(group).add(FreshPoint(at, position))
 
+    def relay_to(self, endpoint: str) -> str | None:
+        """Return where a box listens that hears ``endpoint``, the nearest first."""
+        hearing = [n for n, reply in self.replies.items() if endpoint in reply.hears]
+        near = [n for n in hearing if self._is_near(n)]
+        for name in ranked(self._state.box + endpoint, near or hearing):
+            box = self.boxes.get(name)
+            if box is not None:
+                return box.relay
+        return None
+
+    def _is_near(self, name: str) -> bool:
+        box = self.boxes.get(name)
+        return box is not None and box.data_centre == self._state.data_centre
+
     async def _post(self, box: Box, path: str, body: Any, timeout_s: float) -> Any:
         client = self._client(box.address)
         answer = await client.request("POST", path, body, timeout_s=timeout_s)
@@ -309,12 +327,14 @@
         return told
 
     def _heard(self) -> list[str]:
-        """Return the endpoints that answered lately or are not silent."""
+        """Return the endpoints that answered lately, and not through another box."""
         now = trio.current_time()
         return [
             row.name
             for row in self._state.rows.values()
-            if row.unreachable_since is None and now - row.heard_at < HEARD_RECENT_S
+            if row.unreachable_since is None
+            and now - row.heard_at < HEARD_RECENT_S
+            and self._state.way_to(row) is None
         ]
 
     def _adopt(self, value: Any) -> None:
--- a/wharftiller/daemons/sessions/pool.py
+++ b/wharftiller/daemons/sessions/pool.py
@@ -278,6 +278,11 @@
                 self._idle.remove(connection)
                 connection.close()
 
+    def change_way(self, via: str | None) -> None:
+        """Open connections through another box from here on, or directly."""
+        self.via = via
+        self.drop_idle()
+
     def drop_idle(self) -> None:
         """Close every idle connection: the endpoint may not be what it was."""
         for connection in self._idle:
--- a/wharftiller/daemons/sessions/probes.py
+++ b/wharftiller/daemons/sessions/probes.py
@@ -13,6 +13,8 @@
 if TYPE_CHECKING:
     from wharftiller.core.sessions.endpoints import EndpointRow
     from wharftiller.core.sessions.statements import EndpointStatus
+    from wharftiller.daemons.sessions.boxes import BoxDirectory
+    from wharftiller.daemons.sessions.seams import EndpointDialer
     from wharftiller.daemons.sessions.state import SharedState
 
 PROBE_S = 0.3
@@ -21,6 +23,9 @@
 STATUS_TIMEOUT_S = 0.6
 """Time to open a connection and be told the state, in seconds."""
 
+TRY_DIRECT_S = 0.7
+"""Time between tries of the direct way while another box is in between, in seconds."""
+
 QUIET_PRIMARY_S = 0.8
 """A primary that has not been heard for so long is asked, in seconds."""
 
@@ -34,8 +39,16 @@
 class Prober:
     """Keeps this box's view of endpoints that it does not use otherwise."""
 
-    def __init__(self, state: SharedState, nursery: trio.Nursery) -> None:
+    def __init__(
+        self,
+        state: SharedState,
+        directory: BoxDirectory,
+        dialer: EndpointDialer,
+        nursery: trio.Nursery,
+    ) -> None:
         self._state = state
+        self._directory = directory
+        self._dialer = dialer
         self._nursery = nursery
         self._probing: set[str] = set()
 
@@ -46,20 +59,25 @@
             now = trio.current_time()
             leads = {self._state.lead(group) for group in self._state.leases.record.groups}
             for row in list(self._state.rows.values()):
-                quiet_lead = row.name in leads and now - row.heard_at > QUIET_PRIMARY_S
                 if row.gone or row.name in self._probing:
                     continue
+                quiet_lead = row.name in leads and now - row.heard_at > QUIET_PRIMARY_S
                 if row.is_suspect(now) or quiet_lead:
                     self._probing.add(row.name)
-                    self._nursery.start_soon(self._probe, row)
+                    self._nursery.start_soon(self._probe, row, row.name in leads)
+                elif self._state.way_to(row) is not None:
+                    self._probing.add(row.name)
+                    self._nursery.start_soon(self._try_direct, row)
 
-    async def _probe(self, row: EndpointRow) -> None:
+    async def _probe(self, row: EndpointRow, leads: bool) -> None:
         before = row.unreachable_since
         try:
             await self.status(row)
         except (ExchangeError, EndpointRefusedError) as error:
             if before is None:
                 self._state.log.event("endpoint_silent", endpoint=row.name, why=str(error))
+            if leads:
+                self._change_way(row)
         else:
             if before is not None:
                 self._state.log.change("endpoint_answers", endpoint=row.name)
@@ -67,6 +85,29 @@
         finally:
             self._probing.discard(row.name)
 
+    def _change_way(self, row: EndpointRow) -> None:
+        """Reach a primary that does not answer through another box, or directly again."""
+        pool = self._state.pool(row)
+        way = None if pool.via is not None else self._directory.relay_to(row.name)
+        if way != pool.via:
+            pool.change_way(way)
+            self._state.log.change("way_changed", endpoint=row.name, via=way)
+            self._state.wake()
+
+    async def _try_direct(self, row: EndpointRow) -> None:
+        """Go back to the direct way once it works."""
+        try:
+            with trio.move_on_after(STATUS_TIMEOUT_S):
+                link = await self._dialer.open(row.entry)
+                link.close()
+                self._state.pool(row).change_way(None)
+                self._state.log.change("way_changed", endpoint=row.name, via=None)
+        except (ExchangeError, EndpointRefusedError) as error:
+            self._state.log.event("direct_way_fails", endpoint=row.name, why=str(error))
+        finally:
+            await trio.sleep(TRY_DIRECT_S)
+            self._probing.discard(row.name)
+
     async def status(self, row: EndpointRow) -> EndpointStatus | None:
         """Return the endpoint's state; None if it is too busy to tell.
 
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -8,16 +8,20 @@
 import attrs
 import trio
 
-from wharftiller.core.errors import PlatformUnavailableError
+from wharftiller.core.errors import PlatformUnavailableError, UnknownPathError
 from wharftiller.core.leadership.moves import turn_of
 from wharftiller.core.sessions.routes import EndpointEntry
 from wharftiller.daemons.sessions.boxes import ROUND_S, Box, BoxDirectory, BoxServer
 from wharftiller.daemons.sessions.callers import SessionServer
+from wharftiller.daemons.sessions.gauges import believed
 from wharftiller.daemons.sessions.mover import PrimaryMover
 from wharftiller.daemons.sessions.pool import MAINTENANCE_S
 from wharftiller.daemons.sessions.probes import Prober
+from wharftiller.daemons.sessions.relay import RelayServer
 from wharftiller.daemons.sessions.state import SharedState
 from wharftiller.daemons.sessions.statements import StatementRunner
+from wharftiller.edges.http_server import HttpResponse
+from wharftiller.edges.metrics_page import metrics_page
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -31,7 +35,7 @@
         SharedObjects,
     )
     from wharftiller.decisions import DecisionLog
-    from wharftiller.edges.http_server import HttpRequest, HttpResponse
+    from wharftiller.edges.http_server import HttpRequest
     from wharftiller.edges.transport import Transport
 
 SHARED_READ_S = 5.0
@@ -77,6 +81,8 @@
     ----------
     address : str
         Where other boxes reach it.
+    relay : str
+        Where it connects other boxes to endpoints.
     seeds : tuple of str
         Addresses of boxes that may be asked at a start.
     grace_s : float
@@ -86,6 +92,7 @@
     name: str
     data_centre: str
     address: str
+    relay: str
     seeds: tuple[str, ...]
     grace_s: float
 
@@ -117,12 +124,15 @@
         self._decode_configuration = decode_configuration
         self._nursery = nursery
         incarnation = f"{identity.name}/{secrets.token_hex(6)}"
-        self._box = Box(identity.name, identity.address, incarnation, identity.data_centre)
+        self._box = Box(
+            identity.name, identity.address, identity.relay, incarnation, identity.data_centre
+        )
         self.state = SharedState(identity.name, identity.data_centre, dialer, log, nursery)
         self.sessions = SessionServer(self.state, StatementRunner(self.state))
         self._directory = BoxDirectory(self.state, transport, incarnation)
         self._box_server = BoxServer(self.state, self._directory, self._known)
-        self._prober = Prober(self.state, nursery)
+        self._prober = Prober(self.state, self._directory, dialer, nursery)
+        self.relay = RelayServer(transport, self.state.is_endpoint)
         self._mover = PrimaryMover(
             self.state,
             self._directory,
@@ -161,6 +171,14 @@
         """Answer another box's question."""
         return await self._box_server.handle(request)
 
+    async def handle_metrics(self, request: HttpRequest) -> HttpResponse:
+        """Answer with the page of metrics."""
+        if request.path != "/metrics":
+            raise UnknownPathError(f"no {request.path}; the metrics are at /metrics")
+        gauges = believed(self.state, self._directory, self.sessions.count)
+        page = metrics_page(self.state.figures, gauges)
+        return HttpResponse(200, page)
+
     # Leases, the list of boxes and the record ---------------------------
 
     async def _renew_for_ever(self) -> None:
--- /dev/null
+++ b/wharftiller/daemons/sessions/relay.py
@@ -0,0 +1,113 @@
+"""Pass a connection to an endpoint through a box that reaches it.
+
+A box that is cut from a primary asks another box, by one line, to connect it; from
+then on bytes pass unchanged either way. The box in the middle decides nothing: the
+lease under which a statement is sent is that of the box that sends it.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from wharftiller.core.errors import ExchangeError
+from wharftiller.edges.transport import close_now
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wharftiller.edges.transport import Transport
+
+VERB = "RELAY"
+MAX_ASK_BYTES = 80
+"""Longest request for a relay: the verb, an address and the line's end."""
+
+ASK_TIMEOUT_S = 1.0
+"""Time to name the address and to reach it, in seconds."""
+
+PIPE_BYTES = 16_384
+
+
+async def open_through(transport: Transport, via: str, address: str) -> trio.abc.Stream:
+    """Open a stream to ``address`` through the box at ``via``.
+
+    Raises
+    ------
+    ExchangeError
+        If the box cannot be reached; if it cannot reach ``address``, the stream ends.
+    """
+    stream = await transport.connect(via)
+    try:
+        await stream.send_all(f"{VERB} {address}\r\n".encode())
+    except trio.BrokenResourceError:
+        await close_now(stream)
+        raise ExchangeError(f"the relay at {via} closed the connection") from None
+    return stream
+
+
+class RelayServer:
+    """Connects other boxes to endpoints.
+
+    Parameters
+    ----------
+    is_endpoint : callable
+        Whether an address is that of a registered endpoint; no other is connected.
+    """
+
+    def __init__(self, transport: Transport, is_endpoint: Callable[[str], bool]) -> None:
+        self._transport = transport
+        self._is_endpoint = is_endpoint
+
+    async def serve(self, stream: trio.abc.Stream) -> None:
+        """Serve one connection until either side ends it."""
+        far: trio.abc.Stream | None = None
+        rest = b""
+        try:
+            with trio.move_on_after(ASK_TIMEOUT_S):
+                address, rest = await self._asked(stream)
+                if not self._is_endpoint(address):
+                    return
+                far = await self._transport.connect(address)
+            if far is not None:
+                await _pipe(stream, far, rest)
+        except (ExchangeError, trio.BrokenResourceError, trio.ClosedResourceError):
+            # The other box sees its stream end and takes the endpoint as not reached.
+            return
+        finally:
+            if far is not None:
+                with trio.CancelScope(shield=True):
+                    await close_now(far)
+
+    @staticmethod
+    async def _asked(stream: trio.abc.Stream) -> tuple[str, bytes]:
+        """Return the address asked for, and what came behind it."""
+        data = b""
+        while b"\r\n" not in data:
+            more = await stream.receive_some(MAX_ASK_BYTES)
+            data += more
+            if not more or len(data) > PIPE_BYTES:
+                raise ExchangeError("no relay was asked for")
+        line, rest = data.split(b"\r\n", 1)
+        verb, _, address = line.decode("latin-1").partition(" ")
+        if verb != VERB or len(line) > MAX_ASK_BYTES:
+            raise ExchangeError(f"{line[:20]!r} asks for no relay")
+        return address, rest
+
+
+async def _pipe(near: trio.abc.Stream, far: trio.abc.Stream, first: bytes) -> None:
+    if first:
+        await far.send_all(first)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_copy, near, far, nursery.cancel_scope)
+        await _copy(far, near, nursery.cancel_scope)
+
+
+async def _copy(source: trio.abc.Stream, sink: trio.abc.Stream, scope: trio.CancelScope) -> None:
+    try:
+        while data := await source.receive_some(PIPE_BYTES):
+            await sink.send_all(data)
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        # One side is gone; the scope below ends the other.
+        pass
+    scope.cancel()
--- a/wharftiller/daemons/sessions/state.py
+++ b/wharftiller/daemons/sessions/state.py
@@ -12,6 +12,7 @@
 from wharftiller.core.leadership.lease import LeaseTable
 from wharftiller.core.leadership.record import Leading, Moving
 from wharftiller.core.sessions.endpoints import EndpointRow
+from wharftiller.core.sessions.figures import AnswerLabels, Figures
 from wharftiller.core.sessions.routes import EndpointEntry, SessionConfiguration
 from wharftiller.core.sessions.shares import connection_share
 from wharftiller.core.sessions.statements import EndpointQuery, RefusalKind, Rollback
@@ -76,7 +77,8 @@
         self.rows: dict[str, EndpointRow] = {}
         self.pools: dict[str, EndpointPool] = {}
         self.check_soon = trio.Event()
-        self.counters: collections.Counter[str] = collections.Counter()
+        self.figures = Figures()
+        log.counts = self.figures.events
 
     # Configuration and endpoints ----------------------------------------
 
@@ -150,6 +152,10 @@
         """Return the endpoints of ``group`` that are registered."""
         return [row for row in self.rows.values() if row.entry.group == group and not row.gone]
 
+    def is_endpoint(self, address: str) -> bool:
+        """Return whether a registered endpoint listens at ``address``."""
+        return any(row.entry.address == address for row in self.rows.values() if not row.gone)
+
     def pool(self, row: EndpointRow) -> EndpointPool:
         """Return the connections to an endpoint."""
         return self.pools[row.name]
@@ -235,12 +241,13 @@
 
     def learn_point(self, row: EndpointRow, position: LogPosition | None, asked_at: float) -> None:
         """Note the primary's log position in an answer to what was asked at ``asked_at``."""
+        self.figures.statements[row.name, "done"] += 1
         if position is not None and self.may_acknowledge(row):
             self.points(row.entry.group).add(FreshPoint(asked_at, position))
 
     def learn_refusal(self, row: EndpointRow, refusal: Refusal, after: LogPosition | None) -> None:
         """Note what an endpoint's refusal tells of it."""
-        self.counters[f"endpoint_refused.{refusal.kind.value}"] += 1
+        self.figures.statements[row.name, refusal.kind.value] += 1
         match refusal.kind:
             case RefusalKind.REPLICA_BEHIND if after is not None:
                 row.refused_as_behind(after, trio.current_time())
@@ -294,11 +301,20 @@
     def note(self, session: Session, statement: Statement, reply: Reply, arrived_at: float) -> None:
         """Log and count how a statement ended."""
         took_s = trio.current_time() - arrived_at
+        route = self.configuration.routes.get(session.database)
+        outcome = "done" if reply.refusal is None else reply.refusal.kind.value
+        labels = AnswerLabels(
+            "" if route is None else route.name,
+            "" if route is None else type(route.consistency).__name__,
+            type(statement.body).__name__,
+            outcome,
+        )
+        self.figures.answered(labels, took_s)
         self.log.answered(session, statement, reply, took_s, self.version)
 
     def log_passed_over(self, row: EndpointRow, statement: Statement, why: str) -> None:
         """Log that an endpoint was asked and did not serve."""
-        self.counters["endpoint_passed_over"] += 1
+        self.figures.statements[row.name, "passed_over"] += 1
         self.log.event(
             "endpoint_passed_over", request=statement.request_id, endpoint=row.name, why=why
         )
--- a/wharftiller/decisions.py
+++ b/wharftiller/decisions.py
@@ -63,15 +63,18 @@
         self._formatter = JsonFormatter("{message}", style="{", rename_fields={"message": "event"})
         self._pending = b""
         self._window = 0
+        self.counts: collections.Counter[str] = collections.Counter()
         self._written: collections.Counter[str] = collections.Counter()
         self._left_out: collections.Counter[str] = collections.Counter()
 
     def change(self, event: str, **fields: Any) -> None:
         """Log something that changes what the process believes; never left out."""
+        self.counts[event] += 1
         self._write(event, fields)
 
     def event(self, event: str, **fields: Any) -> None:
         """Log something out of the ordinary, up to the rate of its kind."""
+        self.counts[event] += 1
         window = int(trio.current_time())
         if window != self._window:
             self._window = window
--- /dev/null
+++ b/wharftiller/edges/metrics_page.py
@@ -0,0 +1,108 @@
+"""The page of metrics, in the text format that common collectors read.
+
+The library is loaded when the page is first asked for, so that a box nobody
+collects from pays nothing for it.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Iterator
+
+    from prometheus_client.metrics_core import Metric
+
+    from wharftiller.core.sessions.figures import Figures
+
+PREFIX = "wharftiller"
+
+
+def metrics_page(figures: Figures, gauges: Iterable[Gauge]) -> bytes:
+    """Return the page."""
+    from prometheus_client import CollectorRegistry, generate_latest
+
+    registry = CollectorRegistry()
+    registry.register(_Collector(figures, gauges))
+    return generate_latest(registry)
+
+
+class Gauge:
+    """A figure as it is now, by labels."""
+
+    def __init__(
+        self,
+        name: str,
+        help_text: str,
+        labels: tuple[str, ...],
+        values: Iterable[tuple[tuple[str, ...], float]],
+    ) -> None:
+        self.name = name
+        self.help_text = help_text
+        self.labels = labels
+        self.values = list(values)
+
+
+class _Collector:
+    """Turns figures into metric families."""
+
+    def __init__(self, figures: Figures, gauges: Iterable[Gauge]) -> None:
+        self._figures = figures
+        self._gauges = gauges
+
+    def collect(self) -> Iterator[Metric]:
+        """Yield every metric."""
+        yield from self._counters()
+        yield from self._histograms()
+        for gauge in self._gauges:
+            yield _gauge(gauge)
+
+    def _counters(self) -> Iterator[Metric]:
+        from prometheus_client.core import CounterMetricFamily
+
+        answers = CounterMetricFamily(
+            f"{PREFIX}_answers",
+            "Answers to callers.",
+            labels=("route", "reading", "statement", "outcome"),
+        )
+        for labels, count in self._figures.answers.items():
+            values = (labels.route, labels.reading, labels.statement, labels.outcome)
+            answers.add_metric(values, count)
+        yield answers
+        statements = CounterMetricFamily(
+            f"{PREFIX}_endpoint_statements",
+            "Statements sent to endpoints, by what came of them.",
+            labels=("endpoint", "outcome"),
+        )
+        for pair, count in self._figures.statements.items():
+            statements.add_metric(pair, count)
+        yield statements
+        events = CounterMetricFamily(
+            f"{PREFIX}_events",
+            "Logged events, those left out of the log included.",
+            labels=("event",),
+        )
+        for event, count in self._figures.events.items():
+            events.add_metric((event,), count)
+        yield events
+
+    def _histograms(self) -> Iterator[Metric]:
+        from prometheus_client.core import HistogramMetricFamily
+
+        family = HistogramMetricFamily(
+            f"{PREFIX}_answer_seconds",
+            "Time from a statement's arrival to its answer.",
+            labels=("reading",),
+        )
+        for reading, histogram in self._figures.latency.items():
+            family.add_metric((reading,), histogram.cumulative(), histogram.sum_s)
+        yield family
+
+
+def _gauge(gauge: Gauge) -> Metric:
+    from prometheus_client.core import GaugeMetricFamily
+
+    family = GaugeMetricFamily(f"{PREFIX}_{gauge.name}", gauge.help_text, labels=gauge.labels)
+    for labels, value in gauge.values:
+        family.add_metric(labels, value)
+    return family
--- a/wharftiller/platform/__main__.py
+++ b/wharftiller/platform/__main__.py
@@ -12,7 +12,7 @@
 from wharftiller.core.errors import WharfError
 from wharftiller.daemons.sessions.proxy import BoxIdentity, SessionProxy
 from wharftiller.decisions import DecisionLog
-from wharftiller.edges.http_server import HttpRequest, HttpResponse, serve_stream
+from wharftiller.edges.http_server import HttpHandler, HttpRequest, HttpResponse, serve_stream
 from wharftiller.edges.transport import TcpTransport
 from wharftiller.platform.callers import CallerServer
 from wharftiller.platform.duties import PlatformPromotions
@@ -65,7 +65,10 @@
             callers = CallerServer(proxy)
             await nursery.start(self._transport.serve, settings.callers, callers.serve)
             await nursery.start(self._transport.serve, settings.ready, self._answer_ready(proxy))
-            await nursery.start(self._transport.serve, settings.boxes, self._answer_boxes(proxy))
+            await nursery.start(self._transport.serve, settings.boxes, self._http(proxy.handle_box))
+            await nursery.start(self._transport.serve, settings.relay, proxy.relay.serve)
+            metrics = self._http(proxy.handle_metrics)
+            await nursery.start(self._transport.serve, settings.metrics, metrics)
             proxy.start()
             await told_to_stop()
             await proxy.stop()
@@ -79,6 +82,7 @@
                 settings.box,
                 settings.data_centre,
                 settings.boxes,
+                settings.relay,
                 settings.seeds,
                 settings.grace_s,
             ),
@@ -107,22 +111,23 @@
             return
         self._log.change("settings_reloaded", differ=changed)
 
+    def _http(self, handler: HttpHandler) -> Handler:
+        async def serve(stream: trio.abc.Stream) -> None:
+            try:
+                await serve_stream(stream, handler)
+            except Exception as error:
+                # A fault in one answer must not end the process.
+                self._log.change("answer_failed", why=repr(error))
+
+        return serve
+
     def _answer_ready(self, proxy: SessionProxy) -> Handler:
         async def handle(request: HttpRequest) -> HttpResponse:
             if request.path != READY_PATH:
                 return HttpResponse(404, {"error": f"ask {READY_PATH}"})
             return HttpResponse(200 if proxy.is_ready else 503, {"ready": proxy.is_ready})
 
-        async def serve(stream: trio.abc.Stream) -> None:
-            await serve_stream(stream, handle)
-
-        return serve
-
-    def _answer_boxes(self, proxy: SessionProxy) -> Handler:
-        async def serve(stream: trio.abc.Stream) -> None:
-            await serve_stream(stream, proxy.handle_box)
-
-        return serve
+        return self._http(handle)
 
 
 def main() -> None:
--- a/wharftiller/platform/callers.py
+++ b/wharftiller/platform/callers.py
@@ -10,6 +10,7 @@
 from wharftiller.core.sessions.statements import Refusal, RefusalKind, Reply, SessionState
 from wharftiller.platform.wire import (
     LineReader,
+    decode,
     encode_refusal,
     encode_reply,
     parse_statement,
@@ -41,7 +42,7 @@
                 return None
             try:
                 return parse_statement(line)
-            except (BadRequestError, UnicodeDecodeError) as error:
+            except BadRequestError as error:
                 refusal = Refusal(RefusalKind.MALFORMED, str(error))
                 await self.send(Reply(SessionState.IDLE, refusal=refusal))
 
@@ -65,6 +66,9 @@
             return
         except BodyTooLargeError as error:
             await self._refuse(stream, RefusalKind.TOO_LARGE, str(error))
+        except Exception as error:
+            # A fault in one session must not end the others'.
+            self._proxy.state.log.change("session_failed", why=repr(error))
 
     async def _serve(self, stream: trio.abc.Stream, reader: LineReader) -> None:
         line: bytes | None = None
@@ -76,7 +80,7 @@
         if len(words) < 3 or words[0] != b"CONNECT":
             await self._refuse(stream, RefusalKind.MALFORMED, "send CONNECT, a database and a name")
             return
-        database, caller = words[1].decode(errors="replace"), words[2].decode(errors="replace")
+        database, caller = decode(words[1]), decode(words[2])
         if not await self._has_route(database):
             detail = f"no route leads to {database}; check the name"
             await self._refuse(stream, RefusalKind.UNKNOWN_DATABASE, detail)
--- a/wharftiller/platform/endpoints.py
+++ b/wharftiller/platform/endpoints.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import struct
 from typing import TYPE_CHECKING
 
 import trio
 
 from wharftiller.core.errors import EndpointRefusedError, ExchangeError
 from wharftiller.core.sessions.statements import AskStatus, EndpointQuery, RefusalKind
+from wharftiller.daemons.sessions.relay import open_through
 from wharftiller.platform.wire import (
     LineReader,
+    decode,
     encode_query,
     parse_refusal,
     parse_status,
@@ -21,6 +24,9 @@
     from wharftiller.core.sessions.statements import EndpointStatus, Reply
     from wharftiller.edges.transport import Transport
 
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Lingering for no time: closing resets the connection."""
+
 
 class LineConnection:
     """A connection to an endpoint."""
@@ -51,8 +57,9 @@
         return parse_status(await self.ask(EndpointQuery(AskStatus())))
 
     def close(self) -> None:
-        """Close at once."""
+        """Close at once; what a cut holds up on the way is lost with it."""
         if isinstance(self._stream, trio.SocketStream):
+            self._stream.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, RESET_ON_CLOSE)
             self._stream.socket.close()
         else:
             self._stream.close_now()  # type: ignore[attr-defined]
@@ -73,7 +80,10 @@
 
     async def open(self, entry: EndpointEntry, via: str | None = None) -> LineConnection:
         """Open a connection and have the endpoint confirm who it is."""
-        stream = await self._transport.connect(via or entry.address)
+        if via is None:
+            stream = await self._transport.connect(entry.address)
+        else:
+            stream = await open_through(self._transport, via, entry.address)
         connection: LineConnection | None = None
         try:
             connection = await self._greet(stream, entry)
@@ -95,7 +105,7 @@
             raise ExchangeError(f"{entry.name} closed the new connection")
         if line.startswith(b"READY "):
             return LineConnection(stream, reader)
-        refusal = parse_refusal(line.removeprefix(b"ERROR ").decode())
+        refusal = parse_refusal(decode(line.removeprefix(b"ERROR ")))
         match refusal.kind:
             case RefusalKind.TOO_MANY_CONNECTIONS:
                 raise EndpointRefusedError(f"{entry.name} has too many connections", at_limit=True)
--- a/wharftiller/platform/settings.py
+++ b/wharftiller/platform/settings.py
@@ -10,6 +10,9 @@
 
 from wharftiller.core.errors import WharfError
 
+METRICS_PORT = 9464
+"""Port of the page of metrics; deploy/system.toml names it to the platform."""
+
 
 class PlatformSettingsError(WharfError):
     """The settings file lacks something or holds something unusable."""
@@ -26,8 +29,10 @@
     callers, ready, boxes : str
         Addresses on which this process listens: for callers' sessions, for the
         balancer's questions, for other boxes.
-    relay_port : int
-        First port free for traffic between boxes.
+    relay : str
+        Address on which it connects other boxes to endpoints.
+    metrics : str
+        Address of the page of metrics.
     store, duties : str
         Addresses of the platform's objects and of its singleton duties.
     grace_s : float
@@ -39,7 +44,8 @@
     callers: str
     ready: str
     boxes: str
-    relay_port: int
+    relay: str
+    metrics: str
     seeds: tuple[str, ...]
     store: str
     duties: str
@@ -67,7 +73,8 @@
             callers=str(value["Listen"]["Front"]),
             ready=str(value["Listen"]["Ready"]),
             boxes=str(value["Listen"]["Control"]),
-            relay_port=int(value["InternalPorts"][0]),
+            relay=f"{value['Ip']}:{int(value['InternalPorts'][0])}",
+            metrics=f"{value['Ip']}:{METRICS_PORT}",
             seeds=tuple(str(each) for each in value.get("Seeds") or ()),
             store=str(value["platform"]["Address"]),
             duties=str(value["CloudApi"]["Address"]),
--- a/wharftiller/platform/wire.py
+++ b/wharftiller/platform/wire.py
@@ -107,6 +107,16 @@
             self._buffer += data
 
 
+def decode(line: bytes) -> str:
+    """Return a line as text; bytes that are no UTF-8 are kept for `encode`."""
+    return line.decode(errors="surrogateescape")
+
+
+def encode(text: str) -> bytes:
+    """Return text as it came."""
+    return text.encode(errors="surrogateescape")
+
+
 def parse_position(word: str) -> LogPosition | None:
     """Return the log position that ``word`` writes; None for ``-``.
 
@@ -135,7 +145,7 @@
         If it is none.
     """
     try:
-        verb, request_id, text = line.decode().split(" ", 2)
+        verb, request_id, text = decode(line).split(" ", 2)
     except ValueError:
         raise BadRequestError("send QUERY, an id and a text") from None
     if verb != "QUERY":
@@ -175,7 +185,7 @@
     request_id = OWN_ID if statement is None else statement.request_id
     after = "" if query.after is None else f"AFTER {position_word(query.after)} "
     text = _text_of(query.body, statement)
-    return f"QUERY {request_id} {after}{text}\r\n".encode()
+    return encode(f"QUERY {request_id} {after}{text}\r\n")
 
 
 def _text_of(body: EndpointBody, statement: Statement | None) -> str:
@@ -222,11 +232,11 @@
             case b"ROW":
                 rows.append(rest)
             case b"COMPLETE":
-                proof = rest.decode()
+                proof = decode(rest)
             case b"ERROR":
-                refusal = parse_refusal(rest.decode())
+                refusal = parse_refusal(decode(rest))
             case b"READY":
-                state, position = _parse_ready(rest.decode())
+                state, position = _parse_ready(decode(rest))
                 return Reply(state, tuple(rows), proof, refusal, position)
             case _:
                 raise ExchangeError(f"the endpoint said {line[:40]!r}, which is no answer")
@@ -250,7 +260,7 @@
     """Return the lines that answer a caller's statement."""
     parts = [b"ROW " + row + b"\r\n" for row in reply.rows]
     if reply.refusal is None:
-        parts.append(f"COMPLETE {reply.proof or OWN_ID}\r\n".encode())
+        parts.append(encode(f"COMPLETE {reply.proof or OWN_ID}\r\n"))
     else:
         parts.append(encode_refusal(reply.refusal))
     parts.append(f"READY {STATE_WORDS[reply.state]} {position_word(reply.position)}\r\n".encode())
@@ -259,7 +269,7 @@
 
 def encode_refusal(refusal: Refusal) -> bytes:
     """Return the line that tells a refusal."""
-    return f"ERROR {CODES[refusal.kind]} {refusal.detail}\r\n".encode()
+    return encode(f"ERROR {CODES[refusal.kind]} {refusal.detail}\r\n")
 
 
 def parse_status(reply: Reply) -> EndpointStatus | None:
@@ -273,7 +283,7 @@
     if reply.refusal is not None:
         return None
     try:
-        role, term, received, _fence, _lag, _busy, connections = reply.rows[0].decode().split(" ")
+        role, term, received, _fence, _lag, _busy, connections = decode(reply.rows[0]).split(" ")
         position = parse_position(received) or LogPosition()
         return EndpointStatus(role == "primary", int(term), position, int(connections))
     except (IndexError, ValueError):
--- /dev/null
+++ b/wharftiller/tests/core/leadership/histories.py
@@ -0,0 +1,321 @@
+"""Random histories of boxes, a platform and changes of primary, judged from outside.
+
+The leases are the real ones; the protocol around them is written here anew, step
+by step, so that a rule can be taken out. A history is decided by its seed. Boxes
+freeze, are cut from one another and from the platform, restart and join; answers
+of the platform are late or lost; changes of primary are aimed at such moments.
+"""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from wharftiller.core.leadership.lease import LEASE_S, LISTING_S, LeaseTable, RoundAnswer
+from wharftiller.core.leadership.moves import TAKE_OVER_S
+from wharftiller.core.leadership.record import LeadershipRecord, Leading, Moving
+
+GROUP = "seats"
+END_S = 60.0
+CALL_S = 0.8
+"""Longest time of an answered call, in seconds."""
+
+
+@attrs.frozen
+class Rules:
+    """Which rules hold; all of them as the product has them."""
+
+    asked_time_counts: bool = True
+    every_box_answers: bool = True
+    restarted_boxes_read_first: bool = True
+    list_must_be_recent: bool = True
+    list_read_after_win: bool = True
+    registered_before_lease: bool = True
+    promoter_is_old_member: bool = True
+
+
+class WeakTable(LeaseTable):
+    """A lease table without some rules."""
+
+    rules = Rules()
+
+    def round_ended(self, answers: Iterable[RoundAnswer], asked_at: float) -> bool:
+        """Renew by a round, under weaker rules where some are taken out."""
+        answers = list(answers)
+        for answer in answers:
+            self.adopt(answer.record)
+        rules = self.rules
+        answered = {
+            each.box
+            for each in answers
+            if each.has_read_platform or not rules.restarted_boxes_read_first
+        }
+        enough = (
+            self.boxes <= answered
+            if rules.every_box_answers
+            else 2 * (len(self.boxes & answered) + 1) > len(self.boxes) + 1
+        )
+        recent = asked_at - self.boxes_listed_at < LISTING_S or not rules.list_must_be_recent
+        if self.boxes and enough and recent and self.read_from_platform:
+            self._renew(asked_at)
+            return True
+        return False
+
+
+@attrs.define(eq=False)
+class ModelBox:
+    """One box's process."""
+
+    name: str
+    table: WeakTable
+    registered: bool = False
+    listed_since: float | None = None
+    frozen_until: float = 0.0
+    dead: bool = False
+    moving: bool = False
+    away_until: float = 0.0
+
+
+@attrs.define(order=True)
+class _Event:
+    at: float
+    number: int
+    run: Callable[[], None] = attrs.field(order=False)
+
+
+class History:
+    """One random history."""
+
+    def __init__(self, seed: int, rules: Rules) -> None:
+        self._random = random.Random(seed)
+        self._rules = rules
+        self._events: list[_Event] = []
+        self._numbers = itertools.count()
+        self.now = 0.0
+        self.record = LeadershipRecord(1, 0, "", "", {GROUP: Leading("p0")})
+        self.revision = 1
+        self.listed: dict[str, ModelBox] = {}
+        self.boxes: list[ModelBox] = []
+        self.primary = "p0"
+        self.promotions = 0
+        self.wrong: list[str] = []
+        self._names = itertools.count()
+        self._cuts: dict[frozenset[str], float] = {}
+        self._platform_away_until = 0.0
+        self._written_at = 0.0
+
+    def run(self) -> None:
+        """Play it to its end."""
+        for _ in range(self._random.randint(2, 4)):
+            self._start_box()
+        self._at(self._random.uniform(0, 4), self._trouble)
+        while self._events and self.now < END_S:
+            event = heapq.heappop(self._events)
+            self.now = max(self.now, event.at)
+            event.run()
+            self._judge()
+
+    def _at(self, delay_s: float, run: Callable[[], None]) -> None:
+        heapq.heappush(self._events, _Event(self.now + delay_s, next(self._numbers), run))
+
+    def _judge(self) -> None:
+        for box in self.boxes:
+            lease = box.table.lease(GROUP, self.now)
+            if not box.dead and lease is not None and lease.endpoint != self.primary:
+                self.wrong.append(f"{self.now:.2f}: {box.name} uses {lease.endpoint}")
+
+    # Boxes --------------------------------------------------------------
+
+    def _start_box(self, name: str | None = None) -> None:
+        table = type("Table", (WeakTable,), {"rules": self._rules})()
+        box = ModelBox(name or f"b{next(self._names)}", table)
+        self.boxes.append(box)
+        self._at(0.0, lambda: self._read(box))
+        self._at(0.3, lambda: self._round(box))
+
+    def _later(self, box: ModelBox, run: Callable[[], None]) -> None:
+        """Run now, or when the box thaws; never once it is dead."""
+        if box.dead:
+            return
+        if box.frozen_until > self.now:
+            self._at(box.frozen_until - self.now, lambda: self._later(box, run))
+            return
+        run()
+
+    def _reaches_platform(self, box: ModelBox) -> bool:
+        return self.now >= self._platform_away_until and self.now >= box.away_until
+
+    def _connected(self, a: ModelBox, b: ModelBox) -> bool:
+        return self.now >= self._cuts.get(frozenset((a.name, b.name)), 0.0)
+
+    def _read(self, box: ModelBox) -> None:
+        self._later(box, lambda: self._read_now(box))
+
+    def _read_now(self, box: ModelBox) -> None:
+        self._at(self._random.choice((1.0, 1.0, 4.0)), lambda: self._read(box))
+        asked_at = self.now
+        if not self._reaches_platform(box):
+            return
+        record, listed = self.record, dict(self.listed)
+        first = self.listed.get(box.name) is not box
+        if first:
+            self.listed[box.name] = box
+        delay = self._random.uniform(0, CALL_S)
+        self._at(
+            delay,
+            lambda: self._later(box, lambda: self._answered(box, record, listed, asked_at, first)),
+        )
+
+    def _answered(
+        self,
+        box: ModelBox,
+        record: LeadershipRecord,
+        listed: dict[str, ModelBox],
+        asked_at: float,
+        first: bool,
+    ) -> None:
+        box.registered = True
+        if first and self._rules.registered_before_lease:
+            return
+        if box.listed_since is None:
+            box.listed_since = asked_at
+        counted_at = asked_at if self._rules.asked_time_counts else self.now
+        box.table.listed([name for name in listed if name != box.name], counted_at)
+        box.table.read(record, counted_at)
+
+    def _round(self, box: ModelBox) -> None:
+        self._later(box, lambda: self._round_now(box))
+
+    def _round_now(self, box: ModelBox) -> None:
+        self._at(1.0, lambda: self._round(box))
+        asked_at = self.now
+        answers: list[RoundAnswer] = []
+        for other in self.boxes:
+            if other is box or other.dead or other.frozen_until > self.now:
+                continue
+            if self._connected(box, other):
+                answers.append(
+                    RoundAnswer(other.name, other.table.read_from_platform, other.table.record)
+                )
+        delay = self._random.uniform(0, 0.5)
+        self._at(delay, lambda: self._later(box, lambda: self._round_ends(box, answers, asked_at)))
+
+    def _round_ends(self, box: ModelBox, answers: list[RoundAnswer], asked_at: float) -> None:
+        box.table.round_ended(answers, asked_at if self._rules.asked_time_counts else self.now)
+
+    # Trouble ------------------------------------------------------------
+
+    def _trouble(self) -> None:
+        pick = self._random
+        self._at(pick.uniform(0.1, 4.0), self._trouble)
+        alive = [each for each in self.boxes if not each.dead]
+        if not alive:
+            return
+        box = pick.choice(alive)
+        match pick.randrange(9):
+            case 0:
+                box.frozen_until = self.now + pick.uniform(0.5, 9)
+            case 1:
+                box.away_until = self.now + pick.uniform(1, 12)
+            case 2:
+                self._platform_away_until = self.now + pick.uniform(1, 14)
+            case 3:
+                for other in self.boxes:
+                    if pick.random() < 0.7:
+                        until = self.now + pick.uniform(1, 10)
+                        self._cuts[frozenset((box.name, other.name))] = until
+            case 4:
+                box.dead = True
+                self._at(pick.uniform(0.1, 2.0), lambda: self._start_box(box.name))
+            case 5 if len([each for each in self.boxes if not each.dead]) < 5:
+                self._start_box()
+            case _:
+                self._later(box, lambda: self._win(box))
+
+    # A change of primary ------------------------------------------------
+
+    def _win(self, box: ModelBox) -> None:
+        if box.moving or not box.table.read_from_platform or not self._reaches_platform(box):
+            return
+        believed = box.table.record
+        if believed.revision != self.record.revision:
+            return
+        state = believed.groups[GROUP]
+        match state:
+            case Leading():
+                moving = Moving(state, f"p{self.revision + 1}", planned=False)
+            case Moving() if self.now - self._written_at > TAKE_OVER_S:
+                moving = state
+            case _:
+                return
+        self.revision += 1
+        self._written_at = self.now
+        self.record = attrs.evolve(
+            believed, revision=self.revision, fence=believed.fence + 1, holder=box.name
+        ).with_group(GROUP, moving)
+        won = self.record
+        box.moving = True
+        # What was read before the win may still be on its way to other boxes.
+        listed = dict(self.listed) if self._rules.list_read_after_win else None
+        delay = self._random.uniform(0, CALL_S)
+        self._at(delay, lambda: self._later(box, lambda: self._won(box, won, listed)))
+
+    def _won(
+        self, box: ModelBox, won: LeadershipRecord, listed: dict[str, ModelBox] | None
+    ) -> None:
+        box.table.adopt(won)
+        box.table.give_word(GROUP, won.moving[GROUP].old.endpoint)
+        silent = set(listed if listed is not None else box.table.boxes) - {box.name}
+        self._ask_words(box, won, silent, self.now)
+
+    def _ask_words(
+        self, box: ModelBox, won: LeadershipRecord, silent: set[str], won_at: float
+    ) -> None:
+        for other in self.boxes:
+            awake = not other.dead and other.frozen_until <= self.now
+            if other.name in silent and awake and self._connected(box, other):
+                other.table.adopt(won)
+                other.table.give_word(GROUP, won.moving[GROUP].old.endpoint)
+                silent.discard(other.name)
+        age_s = self.now - (box.listed_since if box.listed_since is not None else self.now)
+        old_member = age_s > LISTING_S + LEASE_S or not self._rules.promoter_is_old_member
+        if not silent or (self.now >= won_at + LEASE_S and old_member):
+            self._promote(box, won)
+            return
+        self._at(0.2, lambda: self._later(box, lambda: self._ask_words(box, won, silent, won_at)))
+
+    def _promote(self, box: ModelBox, won: LeadershipRecord) -> None:
+        if self.record.revision != won.revision:
+            return
+        self.primary = won.moving[GROUP].successor
+        self.promotions += 1
+        self._at(0.3, lambda: self._later(box, lambda: self._lead(box, won)))
+
+    def _lead(self, box: ModelBox, won: LeadershipRecord) -> None:
+        if self.record.revision != won.revision:
+            return
+        if not self._reaches_platform(box):
+            self._at(0.5, lambda: self._later(box, lambda: self._lead(box, won)))
+            return
+        self.revision += 1
+        leading = Leading(won.moving[GROUP].successor, self.revision)
+        self.record = attrs.evolve(won, revision=self.revision).with_group(GROUP, leading)
+        box.table.adopt(self.record)
+        box.moving = False
+
+
+def play(seeds: Iterable[int], rules: Rules) -> tuple[int, list[int]]:
+    """Return the promotions of these histories, and the seeds in which a use was wrong."""
+    promotions = 0
+    wrong: list[int] = []
+    for seed in seeds:
+        history = History(seed, rules)
+        history.run()
+        promotions += history.promotions
+        if history.wrong:
+            wrong.append(seed)
+    return promotions, wrong
--- /dev/null
+++ b/wharftiller/tests/core/leadership/test_lease.py
@@ -0,0 +1,112 @@
+"""Leases: when a primary may be used, and the rules without which two would be."""
+
+from __future__ import annotations
+
+import pytest
+
+from wharftiller.core.leadership.lease import LEASE_S, LISTING_S, LeaseTable, RoundAnswer
+from wharftiller.core.leadership.record import LeadershipRecord, Leading, Moving
+from wharftiller.tests.core.leadership.histories import Rules, play
+
+GROUP = "seats"
+
+
+def record(revision: int, state: Leading | Moving) -> LeadershipRecord:
+    return LeadershipRecord(revision, 1, "box-1/x", "a", {GROUP: state})
+
+
+def answer(box: str, revision: int = 1, *, read: bool = True) -> RoundAnswer:
+    return RoundAnswer(box, read, record(revision, Leading("one")))
+
+
+@pytest.fixture
+def table() -> LeaseTable:
+    table = LeaseTable()
+    table.listed(["box-2", "box-3"], 0.0)
+    table.read(record(1, Leading("one")), 0.0)
+    return table
+
+
+class TestChecks:
+    def test_a_lease_runs_from_the_asking(self, table: LeaseTable) -> None:
+        assert table.may_acknowledge(GROUP, "one", LEASE_S - 0.01)
+        assert not table.may_acknowledge(GROUP, "one", LEASE_S)
+        assert not table.may_acknowledge(GROUP, "two", 1.0)
+
+    def test_a_round_of_every_box_renews(self, table: LeaseTable) -> None:
+        assert table.round_ended([answer("box-2"), answer("box-3")], 3.0)
+        assert table.may_acknowledge(GROUP, "one", 3.0 + LEASE_S - 0.01)
+
+    def test_a_round_with_a_silent_box_does_not(self, table: LeaseTable) -> None:
+        assert not table.round_ended([answer("box-2")], 3.0)
+        assert not table.may_acknowledge(GROUP, "one", LEASE_S)
+
+    def test_a_restarted_box_that_has_not_read_does_not_count(self, table: LeaseTable) -> None:
+        assert not table.round_ended([answer("box-2"), answer("box-3", read=False)], 3.0)
+
+    def test_a_round_with_an_old_list_does_not_count(self, table: LeaseTable) -> None:
+        at = LISTING_S
+        table.read(record(1, Leading("one")), at - 1)
+        assert not table.round_ended([answer("box-2"), answer("box-3")], at)
+
+    def test_a_round_without_other_boxes_does_not_count(self) -> None:
+        table = LeaseTable()
+        table.listed([], 0.0)
+        table.read(record(1, Leading("one")), 0.0)
+        assert not table.round_ended([], 1.0)
+
+
+class TestChanges:
+    def test_an_unplanned_change_ends_the_lease_at_once(self, table: LeaseTable) -> None:
+        table.adopt(record(2, Moving(Leading("one"), "two", planned=False)))
+        assert table.lease(GROUP, 0.1) is None
+
+    def test_a_planned_change_lets_writes_end_but_none_start(self, table: LeaseTable) -> None:
+        table.adopt(record(2, Moving(Leading("one"), "two", planned=True)))
+        assert table.may_start(GROUP, 0.1) is None
+        assert table.may_acknowledge(GROUP, "one", 0.1)
+        table.give_word(GROUP, "one")
+        assert not table.may_acknowledge(GROUP, "one", 0.1)
+
+    def test_an_older_record_changes_nothing(self, table: LeaseTable) -> None:
+        table.adopt(record(3, Leading("two")))
+        assert not table.adopt(record(2, Leading("one")))
+        assert table.lease(GROUP, 0.1) is None
+
+    def test_a_new_primary_needs_a_check_of_its_own(self, table: LeaseTable) -> None:
+        table.adopt(record(2, Leading("two")))
+        assert table.lease(GROUP, 0.1) is None
+        table.read(record(2, Leading("two")), 0.5)
+        assert table.may_acknowledge(GROUP, "two", 0.6)
+
+    def test_a_record_read_late_does_not_renew(self, table: LeaseTable) -> None:
+        table.adopt(record(2, Leading("two")))
+        table.read(record(1, Leading("one")), 0.5)
+        assert table.lease(GROUP, 0.6) is None
+
+    def test_a_change_that_was_called_off_gives_the_primary_back(self, table: LeaseTable) -> None:
+        table.adopt(record(2, Moving(Leading("one"), "two", planned=False)))
+        table.read(record(3, Leading("one")), 1.0)
+        assert table.may_acknowledge(GROUP, "one", 1.1)
+
+
+class TestHistories:
+    def test_no_old_primary_is_used_in_random_histories(self) -> None:
+        promotions, wrong = play(range(120), Rules())
+        assert promotions > 400
+        assert wrong == []
+
+    @pytest.mark.parametrize(
+        ("rules", "seeds"),
+        [
+            (Rules(asked_time_counts=False), (148, 154)),
+            (Rules(restarted_boxes_read_first=False), (180,)),
+            (Rules(list_read_after_win=False), (3, 4)),
+        ],
+        ids=["counted from the answer", "restarted box counts", "list from before the win"],
+    )
+    def test_without_one_rule_an_old_primary_is_used(
+        self, rules: Rules, seeds: tuple[int, ...]
+    ) -> None:
+        assert play(seeds, rules)[1] == list(seeds)
+        assert play(seeds, Rules())[1] == []
--- /dev/null
+++ b/wharftiller/tests/platform/test_bad_input.py
@@ -0,0 +1,150 @@
+"""Bad input on every port and from the platform: a clear error or a close, and service goes on."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Any, ClassVar
+
+import orjson
+import pytest
+import trio
+from hypothesis import given
+from hypothesis import strategies as st
+
+from wharftiller.core.errors import BadRequestError, PlatformUnavailableError
+from wharftiller.edges.leadership_json import record_from_json
+from wharftiller.platform.objects import decode_configuration
+from wharftiller.platform.settings import PlatformSettingsError, load_settings
+from wharftiller.platform.store import parse_object
+from wharftiller.tests.platform.world import World, run_in_world
+
+JSON: st.SearchStrategy[Any] = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=8),
+    lambda inner: st.lists(inner, max_size=3) | st.dictionaries(st.text(max_size=8), inner),
+    max_leaves=8,
+)
+KEYS = st.sampled_from(
+    [
+        "groups",
+        "fence",
+        "holder",
+        "attempt",
+        "Version",
+        "Routes",
+        "Services",
+        "meta",
+        "Name",
+        "spec",
+    ]
+)
+
+NONSENSE = [
+    b"\x00\xff\xfe" * 50,
+    b"GET / HTTP/1.1\r\n\r\n",
+    b"CONNECT\r\n",
+    b"CONNECT a b\r\nQUERY\r\n",
+    b"x" * 1_100_000,
+    b"POST /peer/round HTTP/1.1\r\ncontent-length: 3\r\n\r\n{]}",
+    b'POST /peer/round HTTP/1.1\r\ncontent-length: 15\r\n\r\n{"revision":"x"}',
+    b"POST /peer/record HTTP/1.1\r\ncontent-length: 2\r\n\r\n[]",
+    b"POST /peer/stop HTTP/1.1\r\ncontent-length: 2\r\n\r\n{}",
+]
+
+
+class TestPorts:
+    @pytest.mark.parametrize("port", [1, 2, 3, 4, 5])
+    def test_nonsense_ends_no_process(self, port: int) -> None:
+        async def story(world: World) -> None:
+            for data in NONSENSE:
+                stream = await world.network.host("10.8.0.2").connect(f"10.1.0.1:{port}")
+                with trio.move_on_after(1):
+                    await stream.send_all(data)
+                    while await stream.receive_some():
+                        pass
+                stream.close_now()  # type: ignore[attr-defined]
+            caller = await world.call(world.boxes["box-1"], "primary")
+            assert (await caller.ask("WRITE seat1 anna"))[0] == "ROW written"
+
+        run_in_world(story, boxes=1)
+
+    def test_a_flood_of_connections_is_borne(self) -> None:
+        async def story(world: World) -> None:
+            for _ in range(500):
+                await world.network.host("10.8.0.2").connect("10.1.0.1:1")
+            caller = await world.call(world.boxes["box-1"], "primary")
+            assert (await caller.ask("WRITE seat1 anna"))[0] == "ROW written"
+
+        run_in_world(story, boxes=1)
+
+
+class TestObjects:
+    def test_objects_of_unknown_shape_are_passed_over(self) -> None:
+        async def story(world: World) -> None:
+            world.store.set("servers", "strange", {"Service": None})
+            world.store.set("servers", "stranger", 7)
+            world.store.set("config", "main", {"Version": 9})
+            world.store.set("wharftiller", "box.odd", ["odd"])
+            await trio.sleep(2)
+            caller = await world.call(world.boxes["box-1"], "primary")
+            assert (await caller.ask("WRITE seat1 anna"))[0] == "ROW written"
+            box = world.boxes["box-1"]
+            assert box.events("configuration_not_understood")
+            assert box.events("endpoint_not_understood")
+
+        run_in_world(story)
+
+    @given(st.dictionaries(KEYS, JSON) | JSON)
+    def test_a_record_is_read_or_refused(self, value: Any) -> None:
+        try:
+            record_from_json(value, 1)
+        except BadRequestError:
+            return
+
+    @given(st.dictionaries(KEYS, JSON) | JSON)
+    def test_an_object_is_read_or_refused(self, value: Any) -> None:
+        try:
+            parse_object(value)
+        except PlatformUnavailableError:
+            return
+
+    @given(st.dictionaries(KEYS, JSON) | JSON)
+    def test_a_configuration_is_read_or_refused(self, value: Any) -> None:
+        try:
+            decode_configuration(value)
+        except (KeyError, TypeError, ValueError, AttributeError):
+            return
+
+
+class TestSettings:
+    SETTINGS: ClassVar[dict[str, Any]] = {
+        "Node": "box-1",
+        "Zone": "a",
+        "Ip": "10.1.0.1",
+        "Listen": {"Front": "10.1.0.1:1", "Ready": "10.1.0.1:2", "Control": "10.1.0.1:3"},
+        "InternalPorts": [7440, 7455],
+        "Seeds": ["10.1.0.1:3"],
+        "platform": {"Address": "10.9.0.1:80"},
+        "CloudApi": {"Address": "10.9.0.1:80"},
+        "Bounds": {"GraceS": 6},
+        "Unknown": {"is": "ignored"},
+    }
+
+    def test_settings_are_read(self, tmp_path: Path) -> None:
+        path = tmp_path / "settings.json"
+        path.write_bytes(orjson.dumps(self.SETTINGS))
+        settings = load_settings(str(path))
+        assert (settings.box, settings.relay, settings.grace_s) == ("box-1", "10.1.0.1:7440", 6.0)
+
+    @pytest.mark.parametrize("missing", sorted(set(SETTINGS) - {"Unknown", "Seeds"}))
+    def test_a_missing_field_is_named(self, missing: str, tmp_path: Path) -> None:
+        path = tmp_path / "settings.json"
+        path.write_bytes(orjson.dumps({k: v for k, v in self.SETTINGS.items() if k != missing}))
+        with pytest.raises(PlatformSettingsError, match=missing):
+            load_settings(str(path))
+
+    @pytest.mark.parametrize("content", [b"", b"{", b"[]", b"null"])
+    def test_a_file_without_settings_is_refused(self, content: bytes, tmp_path: Path) -> None:
+        path = tmp_path / "settings.json"
+        path.write_bytes(content)
+        with pytest.raises(PlatformSettingsError):
+            load_settings(str(path))
