Call changes of primary off until they are ordered; forget boxes that are gone

Ruled out: entries of living endpoints taken as gone (they were back in time). Change: the record says whether a promotion may have been ordered; before that any holder calls it off when the old primary answers. A silent box is marked, then removed. An old member's word makes a new one's wait sound. The need is looked at again after the successor was chosen. A planned change lets the other boxes write while a silent box's lease ends.

--- a/wharftiller/core/leadership/lease.py
+++ b/wharftiller/core/leadership/lease.py
@@ -49,6 +49,8 @@
         The primary it is for.
     checked_at : float
         Sending time of the last check that showed it leading, in seconds.
+    closing : bool
+        True once nothing new may start under it.
     given_up : bool
         True once this box gave its word to stop.
     """
@@ -56,6 +58,7 @@
     endpoint: str
     term: int
     checked_at: float
+    closing: bool = False
     given_up: bool = False
 
     def valid(self, now: float) -> bool:
@@ -108,10 +111,12 @@
         return self._leases.get(group)
 
     def may_start(self, group: str, now: float) -> GroupLease | None:
-        """Return the lease under which a new write or primary read may be sent."""
-        if isinstance(self.record.groups.get(group), Moving):
-            return None
-        return self.lease(group, now)
+        """Return the lease under which a new write or primary read may be sent.
+
+        While a planned change waits for a silent box's lease to end, the others go on.
+        """
+        lease = self.lease(group, now)
+        return None if lease is None or lease.closing else lease
 
     def may_acknowledge(self, group: str, endpoint: str, now: float) -> bool:
         """Return whether a write that ``endpoint`` committed may be acknowledged at ``now``."""
@@ -131,7 +136,7 @@
             if leads != lease.endpoint:
                 del self._leases[group]
             elif isinstance(state, Moving) and not state.planned:
-                lease.given_up = True
+                lease.closing = lease.given_up = True
         return True
 
     def read(self, record: LeadershipRecord, asked_at: float) -> None:
@@ -163,18 +168,24 @@
             self._renew(asked_at)
         return counts
 
+    def close(self, group: str, endpoint: str) -> None:
+        """Start nothing new on ``endpoint``; what is under way may end."""
+        lease = self._leases.get(group)
+        if lease is not None and lease.endpoint == endpoint:
+            lease.closing = True
+
     def give_word(self, group: str, endpoint: str) -> None:
         """Stop using ``endpoint`` as ``group``'s primary, for good in this term."""
         lease = self._leases.get(group)
         if lease is not None and lease.endpoint == endpoint:
-            lease.given_up = True
+            lease.closing = lease.given_up = True
 
     def _renew(self, asked_at: float) -> None:
         for group, state in self.record.groups.items():
             if not isinstance(state, Leading):
                 continue
             lease = self._leases.get(group)
-            if lease is None or lease.endpoint != state.endpoint or lease.given_up:
+            if lease is None or lease.endpoint != state.endpoint or lease.closing:
                 self._leases[group] = GroupLease(state.endpoint, state.term, asked_at)
             else:
                 lease.checked_at = max(lease.checked_at, asked_at)
--- a/wharftiller/core/leadership/moves.py
+++ b/wharftiller/core/leadership/moves.py
@@ -61,11 +61,11 @@
     Parameters
     ----------
     row : EndpointRow or None
-        None if it is not registered any more.
+        None if this box never saw it registered.
     turn : int
         How many boxes go first.
     """
-    if row is None or row.gone:
+    if row is None:
         return True
     since = row.unreachable_since
     return since is not None and now - since >= UNREACHABLE_S + turn * TURN_S
--- a/wharftiller/core/leadership/record.py
+++ b/wharftiller/core/leadership/record.py
@@ -35,11 +35,15 @@
         The endpoint that takes over.
     planned : bool
         Whether the old primary is alive and statements under way may end first.
+    ordered : bool
+        Whether the promotion may have been ordered; until then the change can be
+        called off by any box that holds it.
     """
 
     old: Leading
     successor: str
     planned: bool
+    ordered: bool = False
 
 
 GroupLeadership = Leading | Moving
--- a/wharftiller/daemons/sessions/boxes.py
+++ b/wharftiller/daemons/sessions/boxes.py
@@ -59,6 +59,9 @@
         Where it connects other boxes to endpoints.
     incarnation : str
         Id of its process; another one means that the former process is gone.
+    retired : str
+        Incarnation of the box that marked it as dead; empty while it is not. A box
+        that finds itself marked registers anew before its leases count.
     """
 
     name: str
@@ -66,6 +69,7 @@
     relay: str
     incarnation: str
     data_centre: str
+    retired: str = ""
 
 
 @attrs.frozen
@@ -93,6 +97,8 @@
 
     Attributes
     ----------
+    listed_since : float or None
+        When this process first read its own entry in the list of boxes.
     platform_answers : bool
         Whether this box's last read of the platform was answered.
     platform_read_at : float
@@ -106,6 +112,7 @@
         self.incarnation = incarnation
         self.boxes: dict[str, Box] = {}
         self.replies: dict[str, BoxReply] = {}
+        self.listed_since: float | None = None
         self.platform_answers = False
         self.platform_read_at = -math.inf
 
@@ -214,15 +221,27 @@
             client = self._clients[address] = HttpClient(self._transport, address)
         return client
 
-    async def ask_word(self, box: Box, record: LeadershipRecord) -> bool:
-        """Ask a box to stop using the primaries being replaced; return whether it has."""
+    def listed_s(self, now: float) -> float:
+        """Return for how long this process has been listed, in seconds."""
+        return 0.0 if self.listed_since is None else now - self.listed_since
+
+    async def ask_word(self, box: Box, record: LeadershipRecord) -> float | None:
+        """Ask a box to stop using the primaries being replaced.
+
+        Returns
+        -------
+        float or None
+            For how long the box has been listed, in seconds; None if it has not stopped.
+        """
         body = {"revision": record.revision, "record": record_to_json(record)}
         try:
             value = await self._post(box, "/peer/stop", body, WORD_TIMEOUT_S)
         except ExchangeError as error:
             self._state.log.event("word_not_given", other=box.name, why=str(error))
-            return False
-        return isinstance(value, dict) and value.get("stopped") is True
+            return None
+        if not isinstance(value, dict) or value.get("stopped") is not True:
+            return None
+        return float(value.get("listed_ms") or 0) / 1000
 
     async def tell_record(self, record: LeadershipRecord) -> None:
         """Tell every other box of a new record."""
@@ -354,10 +373,14 @@
         if record.revision < value["revision"] or not record.moving:
             return {"stopped": False}
         await self.stop_using(record)
-        return {"stopped": True}
+        listed_s = self._directory.listed_s(trio.current_time())
+        return {"stopped": True, "listed_ms": int(listed_s * 1000)}
 
     async def stop_using(self, record: LeadershipRecord) -> None:
         """Stop using the primaries being replaced, where planned once writes have ended."""
+        leases = self._state.leases
+        for group, moving in record.moving.items():
+            leases.close(group, moving.old.endpoint)
         for group, moving in record.moving.items():
             if moving.planned:
                 await self._quiet(group)
--- a/wharftiller/daemons/sessions/mover.py
+++ b/wharftiller/daemons/sessions/mover.py
@@ -19,6 +19,7 @@
     turn_of,
 )
 from wharftiller.core.leadership.record import Leading, Moving
+from wharftiller.daemons.sessions.boxes import QUIET_WAIT_S
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -82,7 +83,7 @@
         promotions: Promotions,
         prober: Prober,
         incarnation: str,
-        take_listing: Callable[[SharedListing, float], None],
+        take_listing: Callable[[SharedListing, float], bool],
     ) -> None:
         self._state = state
         self._directory = directory
@@ -93,12 +94,10 @@
         self._incarnation = incarnation
         self._take_listing = take_listing
         self._attempts: dict[str, float] = {}
-        self._may_undo: set[int] = set()
         self._numbers = itertools.count(1)
         self._won_at: dict[int, tuple[float, float]] = {}
         self._seen: _Seen | None = None
         self._started_at = trio.current_time()
-        self.listed_since: float | None = None
 
     async def run(self) -> None:
         """Look for work for ever."""
@@ -184,7 +183,6 @@
                 if moving is not None:
                     changed = changed.with_group(group, moving)
         if changed.moving:
-            self._may_undo.add(changed.fence)
             await self._write(changed)
 
     async def _change_needed(self, group: str, leading: Leading) -> Moving | None:
@@ -201,6 +199,8 @@
         if best is None:
             self._state.log.event("no_successor", group=group, old=leading.endpoint)
             return None
+        if not planned and not is_lost(row, turn, trio.current_time()):
+            return None
         self._state.log.change(
             "change_of_primary_starts",
             group=group,
@@ -213,7 +213,7 @@
 
     @staticmethod
     def _leaves(row: EndpointRow, turn: int, now: float) -> bool:
-        if row.leaving_since is None or row.gone or row.is_suspect(now):
+        if row.leaving_since is None or row.is_suspect(now):
             return False
         return now - row.leaving_since >= turn * FIRST_TURN_S
 
@@ -258,13 +258,13 @@
             await self._write(record)
             await self._directory.tell_record(self._state.leases.record)
             return
-        settled = await self._with_successors(record)
-        if settled != record:
-            # The next look carries on with the successors recorded.
-            await self._write(settled)
-        elif trio.current_time() - asked_at > SEND_WINDOW_S:
+        settled = await self._ready_to_order(record)
+        if settled != record and not await self._write(settled):
+            return
+        record = self._state.leases.record
+        if trio.current_time() - asked_at > SEND_WINDOW_S:
             await self._write(self._as_holder(record))
-        elif self._state.leases.record.revision == record.revision:
+        elif record.holder == self._incarnation and record.groups == settled.groups:
             await self._promote_all(record)
 
     def _won(self, record: LeadershipRecord) -> tuple[float, float]:
@@ -281,20 +281,28 @@
         """Return once no box uses an old primary; the groups whose lost one answers again."""
         listed = await self._list_anew()
         silent = dict(self._directory.boxes)
+        if all(moving.planned for moving in record.moving.values()):
+            await self._let_silent_leases_end(won_at)
         await self._server.stop_using(record)
+        vouched = False
         while silent or not listed:
-            await self._ask_words(silent, record)
+            vouched |= await self._ask_words(silent, record)
             now = trio.current_time()
             answering = self._answering_again(record, won_at)
             if answering:
                 return answering
-            if now >= won_at + LEASE_S and self._is_old_member(now):
+            if now >= won_at + LEASE_S and (vouched or self._is_old_member(now)):
                 self._state.log.change("lease_waited_out", silent=sorted(silent))
                 break
             if silent or not listed:
                 await trio.sleep(ASK_AGAIN_S)
         return []
 
+    async def _let_silent_leases_end(self, won_at: float) -> None:
+        """Let the other boxes go on for most of the wait for boxes that cannot be asked."""
+        if self._directory.boxes.keys() - self._directory.replies.keys():
+            await trio.sleep_until(won_at + LEASE_S - QUIET_WAIT_S)
+
     async def _list_anew(self) -> bool:
         """Read the list of boxes after the record was won; return whether it was read.
 
@@ -307,43 +315,55 @@
         except PlatformUnavailableError as error:
             self._state.log.event("boxes_not_listed", why=str(error))
             return False
-        self._take_listing(listing, asked_at)
-        return True
+        return self._take_listing(listing, asked_at)
 
     def _answering_again(self, record: LeadershipRecord, won_at: float) -> list[str]:
         """Return the groups whose lost primary answers again and may still go on leading."""
-        if record.fence not in self._may_undo:
-            return []
         answering = []
         for group, moving in record.moving.items():
             row = self._state.rows.get(moving.old.endpoint)
-            if not moving.planned and row is not None and row.heard_at > won_at:
+            if moving.planned or moving.ordered or row is None:
+                continue
+            if row.heard_at > won_at:
                 self._state.log.change("old_primary_answers", group=group, endpoint=row.name)
                 answering.append(group)
         return answering
 
-    async def _ask_words(self, silent: dict[str, Box], record: LeadershipRecord) -> None:
+    async def _ask_words(self, silent: dict[str, Box], record: LeadershipRecord) -> bool:
+        """Ask the silent boxes for their word; return whether an old member gave one.
+
+        A silent box's rounds ask every box that was listed `LISTING_S` before, so an
+        old member that knows of the change keeps it from renewing its lease.
+        """
+        members: list[float] = []
+
         async def ask(name: str) -> None:
             box = self._directory.boxes.get(name)
-            if box is None or await self._directory.ask_word(box, record):
+            if box is None:
+                silent.pop(name, None)
+                return
+            listed_s = await self._directory.ask_word(box, record)
+            if listed_s is not None:
+                members.append(listed_s)
                 silent.pop(name, None)
 
         async with trio.open_nursery() as nursery:
             for name in list(silent):
                 nursery.start_soon(ask, name)
+        return any(listed_s > LISTING_S + LEASE_S for listed_s in members)
 
     def _is_old_member(self, now: float) -> bool:
         """Return whether every other box's list must hold this box by now."""
-        return self.listed_since is not None and now - self.listed_since > LISTING_S + LEASE_S
+        return self._directory.listed_s(now) > LISTING_S + LEASE_S
 
-    async def _with_successors(self, record: LeadershipRecord) -> LeadershipRecord:
-        """Return the record with each change's best successor."""
+    async def _ready_to_order(self, record: LeadershipRecord) -> LeadershipRecord:
+        """Return the record with each change's best successor, marked as ordered."""
         for group, moving in record.moving.items():
             if moving.planned:
                 await self._successor_caught_up(moving)
             best = await self._best_successor(group, moving)
-            if best != moving.successor:
-                record = record.with_group(group, attrs.evolve(moving, successor=best))
+            ordered = attrs.evolve(moving, successor=best, ordered=True)
+            record = record.with_group(group, ordered)
         return record
 
     async def _successor_caught_up(self, moving: Moving) -> None:
@@ -372,7 +392,6 @@
     async def _promote_all(self, record: LeadershipRecord) -> None:
         """Order every promotion, then record those that took effect."""
         led: dict[str, Leading] = {}
-        self._may_undo.discard(record.fence)
 
         async def promote(group: str, moving: Moving) -> None:
             if await self._promote(group, moving, record.fence):
--- a/wharftiller/daemons/sessions/pool.py
+++ b/wharftiller/daemons/sessions/pool.py
@@ -256,6 +256,7 @@
             self._refused_until = trio.current_time() + REFUSED_PAUSE_S
         else:
             self.row.gone = True
+            self.row.failed(trio.current_time())
 
     def release(self, connection: PooledConnection) -> None:
         """Take back a connection."""
--- a/wharftiller/daemons/sessions/probes.py
+++ b/wharftiller/daemons/sessions/probes.py
@@ -59,7 +59,7 @@
             now = trio.current_time()
             leads = {self._state.lead(group) for group in self._state.leases.record.groups}
             for row in list(self._state.rows.values()):
-                if row.gone or row.name in self._probing:
+                if (row.gone and row.name not in leads) or row.name in self._probing:
                     continue
                 quiet_lead = row.name in leads and now - row.heard_at > QUIET_PRIMARY_S
                 if row.is_suspect(now) or quiet_lead:
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -18,6 +18,7 @@
 from wharftiller.daemons.sessions.pool import MAINTENANCE_S
 from wharftiller.daemons.sessions.probes import Prober
 from wharftiller.daemons.sessions.relay import RelayServer
+from wharftiller.daemons.sessions.retirement import BoxRetirement
 from wharftiller.daemons.sessions.state import SharedState
 from wharftiller.daemons.sessions.statements import StatementRunner
 from wharftiller.edges.http_server import HttpResponse
@@ -143,6 +144,7 @@
             incarnation,
             self.take_listing,
         )
+        self._retirement = BoxRetirement(self.state, self._directory, shared, nursery)
         self._feeds = feeds(self.state, self._missed_change_found)
         self._renewed = False
         self._platform_answers: bool | None = None
@@ -233,21 +235,29 @@
             self._feeds.noticed(listing.revision)
         self._directory.platform_read_at = max(self._directory.platform_read_at, asked_at)
 
-    def take_listing(self, listing: SharedListing, asked_at: float) -> None:
-        """Take in what was read from the platform, asked for at ``asked_at`` (seconds)."""
+    def take_listing(self, listing: SharedListing, asked_at: float) -> bool:
+        """Take in what was read from the platform, asked for at ``asked_at`` (seconds).
+
+        Returns
+        -------
+        bool
+            Whether this process stands in the list; only then does the read count.
+        """
         others = {n: box for n, box in listing.boxes.items() if n != self._box.name}
+        self._retirement.look(others, asked_at)
         self._directory.take_list(others)
         if listing.boxes.get(self._box.name) != self._box:
-            return
+            return False
         self.state.leases.listed(others, asked_at)
-        if self._mover.listed_since is None:
-            self._mover.listed_since = asked_at
+        if self._directory.listed_since is None:
+            self._directory.listed_since = asked_at
         before = self.state.leases.record.revision
         self.state.leases.read(listing.record, asked_at)
         record = self.state.leases.record
         if record.revision != before:
             self._log.change("record_adopted", revision=record.revision, source="platform")
         self.state.wake()
+        return True
 
     def _platform_answered(self, answers: bool, why: str = "") -> None:
         self._directory.platform_answers = answers
--- /dev/null
+++ b/wharftiller/daemons/sessions/retirement.py
@@ -0,0 +1,76 @@
+"""Take boxes that are gone for good out of the list, so that nobody waits for their word.
+
+A box that is silent for a while is first marked. If it lives and reaches the
+platform, it finds the mark at its next read and registers anew before that read
+counts for a lease; if it does not reach the platform, its leases end with the age of
+its list. So an entry that has stood marked for `MARKED_S` stands for no lease.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wharftiller.core.errors import PlatformUnavailableError
+from wharftiller.core.leadership.lease import LEASE_S, LISTING_S
+from wharftiller.core.leadership.moves import turn_of
+
+if TYPE_CHECKING:
+    import trio
+
+    from wharftiller.daemons.sessions.boxes import Box, BoxDirectory
+    from wharftiller.daemons.sessions.seams import SharedObjects
+    from wharftiller.daemons.sessions.state import SharedState
+
+SILENT_S = 5.0
+"""Time after which a box that answers no round is marked, in seconds.
+
+Longer than a restart (1 to 2 s); a box that is only cut off pays one more write.
+"""
+
+MARKED_S = LISTING_S + LEASE_S + 1.0
+"""Time after which a marked entry is removed, in seconds: no lease outlives it."""
+
+
+class BoxRetirement:
+    """Marks silent boxes and removes those that have stood marked."""
+
+    def __init__(
+        self,
+        state: SharedState,
+        directory: BoxDirectory,
+        shared: SharedObjects,
+        nursery: trio.Nursery,
+    ) -> None:
+        self._state = state
+        self._directory = directory
+        self._shared = shared
+        self._nursery = nursery
+        self._silent_since: dict[Box, float] = {}
+
+    def look(self, boxes: dict[str, Box], now: float) -> None:
+        """Look at the list as read from the platform at ``now`` (seconds)."""
+        silent = [box for name, box in boxes.items() if name not in self._directory.replies]
+        self._silent_since = {box: self._silent_since.get(box, now) for box in silent}
+        if turn_of(self._state.box, self._directory.replies, "reader") != 0:
+            return
+        for box, since in self._silent_since.items():
+            if not box.retired and now - since > SILENT_S:
+                self._nursery.start_soon(self._retire, box)
+            elif box.retired and now - since > MARKED_S:
+                self._nursery.start_soon(self._remove, box)
+
+    async def _retire(self, box: Box) -> None:
+        try:
+            await self._shared.retire(box, self._directory.incarnation)
+        except PlatformUnavailableError as error:
+            self._state.log.event("box_not_marked", other=box.name, why=str(error))
+        else:
+            self._state.log.change("box_marked_dead", other=box.name)
+
+    async def _remove(self, box: Box) -> None:
+        try:
+            await self._shared.withdraw(box)
+        except PlatformUnavailableError as error:
+            self._state.log.event("box_not_removed", other=box.name, why=str(error))
+        else:
+            self._state.log.change("box_removed", other=box.name)
--- a/wharftiller/daemons/sessions/seams.py
+++ b/wharftiller/daemons/sessions/seams.py
@@ -107,6 +107,10 @@
         """Put ``box`` into the list, or its new process in its place."""
         ...
 
+    async def retire(self, box: Box, by: str) -> None:
+        """Mark ``box`` as dead."""
+        ...
+
     async def withdraw(self, box: Box) -> None:
         """Take ``box`` out of the list."""
         ...
--- a/wharftiller/daemons/sessions/state.py
+++ b/wharftiller/daemons/sessions/state.py
@@ -121,6 +121,7 @@
         for name, row in self.rows.items():
             if not row.gone and row.is_taken_as_gone(now):
                 row.gone = True
+                row.leaving_since = row.leaving_since or now
                 self.log.change("endpoint_gone", endpoint=name, group=row.entry.group)
                 self.wake()
 
@@ -180,7 +181,7 @@
         """Return the primary that new writes and primary reads may be sent to now."""
         lease = self.leases.may_start(group, trio.current_time())
         row = self.rows.get(lease.endpoint) if lease is not None else None
-        if row is None or row.gone or not row.may_still_lead(trio.current_time()):
+        if row is None or not row.may_still_lead(trio.current_time()):
             return None
         return row
 
--- a/wharftiller/edges/leadership_json.py
+++ b/wharftiller/edges/leadership_json.py
@@ -25,12 +25,13 @@
     match state:
         case Leading(endpoint, term):
             return {"endpoint": endpoint, "term": term}
-        case Moving(old, successor, planned):
+        case Moving(old, successor, planned, ordered):
             return {
                 "endpoint": old.endpoint,
                 "term": old.term,
                 "successor": successor,
                 "planned": planned,
+                "ordered": ordered,
             }
 
 
@@ -61,4 +62,4 @@
     old = Leading(str(value["endpoint"]), int(value["term"]))
     if "successor" not in value:
         return old
-    return Moving(old, str(value["successor"]), bool(value["planned"]))
+    return Moving(old, str(value["successor"]), bool(value["planned"]), bool(value["ordered"]))
--- a/wharftiller/platform/objects.py
+++ b/wharftiller/platform/objects.py
@@ -147,8 +147,9 @@
 
     def _decode_box(self, stored: StoredObject) -> Box | None:
         try:
-            return Box(**{field.name: str(stored.spec[field.name]) for field in attrs.fields(Box)})
-        except (KeyError, TypeError) as error:
+            values = {each.name: str(stored.spec.get(each.name, "")) for each in attrs.fields(Box)}
+            return Box(**values) if values["address"] else None
+        except (AttributeError, TypeError) as error:
             self._log.event("box_not_understood", name=stored.name, why=repr(error))
             return None
 
@@ -167,6 +168,12 @@
         if stands.spec != spec:
             await self._store.put(OWN_KIND, name, spec, None)
 
+    async def retire(self, box: Box, by: str) -> None:
+        """Mark a box as dead."""
+        await self._store.put(
+            OWN_KIND, BOX_PREFIX + box.name, attrs.asdict(attrs.evolve(box, retired=by)), None
+        )
+
     async def withdraw(self, box: Box) -> None:
         """Take ``box`` out of the list."""
         await self._store.delete(OWN_KIND, BOX_PREFIX + box.name)
--- a/wharftiller/tests/core/leadership/histories.py
+++ b/wharftiller/tests/core/leadership/histories.py
@@ -273,7 +273,12 @@
         self._ask_words(box, won, silent, self.now)
 
     def _ask_words(
-        self, box: ModelBox, won: LeadershipRecord, silent: set[str], won_at: float
+        self,
+        box: ModelBox,
+        won: LeadershipRecord,
+        silent: set[str],
+        won_at: float,
+        vouched: bool = False,
     ) -> None:
         for other in self.boxes:
             awake = not other.dead and other.frozen_until <= self.now
@@ -281,12 +286,20 @@
                 other.table.adopt(won)
                 other.table.give_word(GROUP, won.moving[GROUP].old.endpoint)
                 silent.discard(other.name)
-        age_s = self.now - (box.listed_since if box.listed_since is not None else self.now)
-        old_member = age_s > LISTING_S + LEASE_S or not self._rules.promoter_is_old_member
+                vouched |= self._is_old(other)
+        old_member = self._is_old(box) or vouched or not self._rules.promoter_is_old_member
         if not silent or (self.now >= won_at + LEASE_S and old_member):
             self._promote(box, won)
             return
-        self._at(0.2, lambda: self._later(box, lambda: self._ask_words(box, won, silent, won_at)))
+        self._at(
+            0.2,
+            lambda: self._later(box, lambda: self._ask_words(box, won, silent, won_at, vouched)),
+        )
+
+    def _is_old(self, box: ModelBox) -> bool:
+        """Return whether every other box's list must hold ``box`` by now."""
+        since = box.listed_since
+        return since is not None and self.now - since > LISTING_S + LEASE_S
 
     def _promote(self, box: ModelBox, won: LeadershipRecord) -> None:
         if self.record.revision != won.revision:
--- a/wharftiller/tests/core/leadership/test_lease.py
+++ b/wharftiller/tests/core/leadership/test_lease.py
@@ -63,11 +63,18 @@
 
     def test_a_planned_change_lets_writes_end_but_none_start(self, table: LeaseTable) -> None:
         table.adopt(record(2, Moving(Leading("one"), "two", planned=True)))
+        assert table.may_start(GROUP, 0.1) is not None
+        table.close(GROUP, "one")
         assert table.may_start(GROUP, 0.1) is None
         assert table.may_acknowledge(GROUP, "one", 0.1)
         table.give_word(GROUP, "one")
         assert not table.may_acknowledge(GROUP, "one", 0.1)
 
+    def test_a_planned_change_is_no_check(self, table: LeaseTable) -> None:
+        table.read(record(2, Moving(Leading("one"), "two", planned=True)), 3.0)
+        assert table.may_start(GROUP, LEASE_S - 0.01) is not None
+        assert table.may_start(GROUP, LEASE_S) is None
+
     def test_an_older_record_changes_nothing(self, table: LeaseTable) -> None:
         table.adopt(record(3, Leading("two")))
         assert not table.adopt(record(2, Leading("one")))
--- a/wharftiller/tests/platform/test_changes_of_primary.py
+++ b/wharftiller/tests/platform/test_changes_of_primary.py
@@ -139,6 +139,25 @@
 
         run_in_world(story)
 
+    def test_a_silent_box_does_not_stop_the_others_writes_meanwhile(self) -> None:
+        async def story(world: World) -> None:
+            group = world.groups[0]
+            await trio.sleep(20)
+            await world.kill_box(world.boxes["box-3"])
+            caller = await world.call(world.boxes["box-1"], "primary")
+            group.primary.leaving = True
+            world.register(group.primary)
+            longest_s = 0.0
+            until = trio.current_time() + 8
+            while trio.current_time() < until:
+                took_s = await write_until_done(caller, "WRITE seat1 x", 5.0)
+                longest_s = max(longest_s, took_s)
+                await trio.sleep(0.05)
+            assert group.primary.name != "seats-0"
+            assert longest_s < 2.0
+
+        run_in_world(story)
+
 
 class TestPlatformFailing:
     def test_an_outage_of_the_platform_stops_no_write(self) -> None:
