Tell a request's story from the logs of several boxes

wharfctl trace ID FILE... prints the request's lines and what its boxes came to believe around them.

--- a/wharftiller/cli/wharfctl.py
+++ b/wharftiller/cli/wharfctl.py
@@ -15,6 +15,7 @@
 from wharftiller.cli.calls import CallError, Target, call
 from wharftiller.cli.daemon import print_faults, settings_or_exit
 from wharftiller.core.errors import BadRequestError
+from wharftiller.decision_story import LoggedEvent, read_events, story_of
 from wharftiller.keys import KeyRing
 from wharftiller.settings import SettingsErrorGroup, load_settings
 from wharftiller.traces import read_trace
@@ -243,6 +244,29 @@
         raise typer.Exit(REFUSED)
 
 
+@app.command()
+def trace(
+    request_id: Annotated[str, typer.Argument(help="The request's id.")],
+    files: Annotated[list[Path], typer.Argument(help="Logs of one or more boxes.")],
+) -> None:
+    """Print a request's story from decision logs, with what its boxes believed meanwhile."""
+    events: list[LoggedEvent] = []
+    for file in files:
+        with file.open(encoding="utf-8", errors="replace") as lines:
+            events.extend(read_events(lines))
+    story = story_of(request_id, events)
+    if not story:
+        typer.echo(
+            f"no line tells of {request_id} among {len(events)} events; ordinary answers are "
+            "sampled, all others are logged up to a rate: look at the metrics of that moment",
+            err=True,
+        )
+        raise typer.Exit(REFUSED)
+    for event in story:
+        mark = ">" if event.fields.get("request") == request_id else " "
+        typer.echo(f"{mark} {event.sentence()}")
+
+
 @app.command()
 def key(
     purpose: Annotated[str, typer.Argument(help="'business' or 'operator'.")],
--- /dev/null
+++ b/wharftiller/decision_story.py
@@ -0,0 +1,83 @@
+"""Put together one request's story from the decision logs of several boxes."""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import attrs
+
+CONTEXT_BEFORE_S = 3.0
+"""How long before a request's first line other events may have led to it, in seconds."""
+
+CONTEXT_AFTER_S = 0.5
+"""How long after its last line they may still tell the cause, in seconds."""
+
+REQUEST_EVENTS = frozenset(
+    {
+        "answered",
+        "refused",
+        "unsettled",
+        "endpoint_passed_over",
+        "lines_left_out",
+        "rollback_failed",
+    }
+)
+"""Events that tell of requests; all others tell of what a box believes."""
+
+
+@attrs.frozen
+class LoggedEvent:
+    """One line of a decision log.
+
+    Attributes
+    ----------
+    at : float
+        Time of day, in seconds.
+    fields : dict
+        Everything else the line says.
+    """
+
+    at: float
+    box: str
+    event: str
+    fields: dict[str, Any]
+
+    def sentence(self) -> str:
+        """Return the event and its fields on one line."""
+        told = " ".join(f"{key}={value}" for key, value in self.fields.items())
+        return f"{self.at:.3f} {self.box} {self.event} {told}".rstrip()
+
+
+def read_events(lines: Iterable[str]) -> Iterator[LoggedEvent]:
+    """Yield the events among ``lines``; what stands before the JSON, as collectors add, is cut."""
+    for line in lines:
+        start = line.find('{"event"')
+        if start < 0:
+            continue
+        try:
+            fields = json.loads(line[start:])
+            at, box, event = float(fields.pop("at")), fields.pop("box"), fields.pop("event")
+        except (ValueError, KeyError):
+            continue
+        fields.pop("part", None)
+        yield LoggedEvent(at, str(box), str(event), fields)
+
+
+def story_of(request_id: str, events: Iterable[LoggedEvent]) -> list[LoggedEvent]:
+    """Return the request's events and what its boxes came to believe around them, in order."""
+    ordered = sorted(events, key=lambda each: each.at)
+    own = [each for each in ordered if each.fields.get("request") == request_id]
+    if not own:
+        return []
+    took_s = max(float(each.fields.get("took_ms", 0)) for each in own) / 1000
+    begin = own[0].at - took_s - CONTEXT_BEFORE_S
+    end = own[-1].at + CONTEXT_AFTER_S
+    boxes = {each.box for each in own}
+    return [
+        each
+        for each in ordered
+        if each in own
+        or (each.box in boxes and begin <= each.at <= end and each.event not in REQUEST_EVENTS)
+    ]
