Wait longer before replacing a primary behind a cut; refuse at once when none is expected

Ruled out: the relays (they were given up within 0.6 s when they did not help). Change: a primary must be silent for 4 s where some boxes are silent too; it is asked once more before anything is ordered; a lapsed entry has 4.8 s to return; a statement waits only where a primary is likely within about a second.

--- a/wharftiller/core/leadership/moves.py
+++ b/wharftiller/core/leadership/moves.py
@@ -21,9 +21,27 @@
 a pause of a second is borne first; every further second stops the group's writes.
 """
 
+UNREACHABLE_BEHIND_CUT_S = 4.0
+"""How long it must be silent where some boxes are silent too, in seconds.
+
+Those boxes may be on its side of a cut and acknowledge writes on it, which a change
+would throw away, and the change waits for their leases in any case. Cuts of the
+deployments served last 4 to 7 s; with the lease (4 s) a change still ends within 12 s.
+"""
+
+LAPSED_S = 4.8
+"""How long a primary that answers may be missing from the list, in seconds.
+
+Its entry may come back two seconds after a cut heals; the platforms served allow 7 s
+from its disappearance, and a planned change takes one to two.
+"""
+
 TURN_S = 0.4
 """Time by which each further box leaves the first move to those before it, in seconds."""
 
+HAND_OVER_TURN_S = 0.3
+"""Time by which each further box leaves a planned change to those before it, in seconds."""
+
 SEND_WINDOW_S = 6.0
 """Time after asking for the record within which its winner may order the promotion.
 
@@ -55,7 +73,17 @@
     return position.term, position.index
 
 
-def is_lost(row: EndpointRow | None, turn: int, now: float) -> bool:
+def must_leave(row: EndpointRow, turn: int, now: float) -> bool:
+    """Return whether an answering primary must hand over: it is leaving, or not listed."""
+    if row.is_suspect(now) or row.leaving_since is None:
+        return False
+    wait_s = turn * HAND_OVER_TURN_S
+    if row.missing_since is not None:
+        wait_s += LAPSED_S
+    return now - row.leaving_since >= wait_s
+
+
+def is_lost(row: EndpointRow | None, turn: int, now: float, *, all_answer: bool = True) -> bool:
     """Return whether a primary has been silent to this box for long enough.
 
     Parameters
@@ -64,11 +92,14 @@
         None if this box never saw it registered.
     turn : int
         How many boxes go first.
+    all_answer : bool
+        Whether every other box answers this one.
     """
     if row is None:
         return True
     since = row.unreachable_since
-    return since is not None and now - since >= UNREACHABLE_S + turn * TURN_S
+    least_s = UNREACHABLE_S if all_answer else UNREACHABLE_BEHIND_CUT_S
+    return since is not None and now - since >= least_s + turn * TURN_S
 
 
 def turn_of(box: str, boxes: Iterable[str], group: str) -> int:
--- a/wharftiller/daemons/sessions/mover.py
+++ b/wharftiller/daemons/sessions/mover.py
@@ -16,6 +16,7 @@
     Candidate,
     best_candidate,
     is_lost,
+    must_leave,
     turn_of,
 )
 from wharftiller.core.leadership.record import Leading, Moving
@@ -190,8 +191,9 @@
         now = trio.current_time()
         row = self._state.rows.get(leading.endpoint)
         turn = turn_of(self._state.box, self._directory.replies, group)
-        planned = row is not None and self._leaves(row, turn, now)
-        if not planned and not is_lost(row, turn, now):
+        planned = row is not None and must_leave(row, turn, now)
+        all_answer = self._directory.boxes.keys() <= self._directory.replies.keys()
+        if not planned and not is_lost(row, turn, now, all_answer=all_answer):
             return None
         if not planned and await self._is_heard_elsewhere(leading.endpoint):
             return None
@@ -199,7 +201,7 @@
         if best is None:
             self._state.log.event("no_successor", group=group, old=leading.endpoint)
             return None
-        if not planned and not is_lost(row, turn, trio.current_time()):
+        if not planned and not is_lost(row, turn, trio.current_time(), all_answer=all_answer):
             return None
         self._state.log.change(
             "change_of_primary_starts",
@@ -211,12 +213,6 @@
         )
         return Moving(leading, best.name, planned)
 
-    @staticmethod
-    def _leaves(row: EndpointRow, turn: int, now: float) -> bool:
-        if row.leaving_since is None or row.is_suspect(now):
-            return False
-        return now - row.leaving_since >= turn * FIRST_TURN_S
-
     async def _is_heard_elsewhere(self, endpoint: str) -> bool:
         await self._directory.round()
         hearing = [n for n, reply in self._directory.replies.items() if endpoint in reply.hears]
@@ -258,6 +254,9 @@
             await self._write(record)
             await self._directory.tell_record(self._state.leases.record)
             return
+        if await self._old_ones_answer(record):
+            # The next look calls the change off.
+            return
         settled = await self._ready_to_order(record)
         if settled != record and not await self._write(settled):
             return
@@ -300,6 +299,7 @@
 
     async def _let_silent_leases_end(self, won_at: float) -> None:
         """Let the other boxes go on for most of the wait for boxes that cannot be asked."""
+        await self._directory.round()
         if self._directory.boxes.keys() - self._directory.replies.keys():
             await trio.sleep_until(won_at + LEASE_S - QUIET_WAIT_S)
 
@@ -317,6 +317,22 @@
             return False
         return self._take_listing(listing, asked_at)
 
+    async def _old_ones_answer(self, record: LeadershipRecord) -> bool:
+        """Ask every lost primary once more before anything is ordered."""
+        answers: list[EndpointStatus] = []
+
+        async def ask(row: EndpointRow) -> None:
+            status = await self._status(row)
+            if status is not None:
+                answers.append(status)
+
+        async with trio.open_nursery() as nursery:
+            for moving in record.moving.values():
+                row = self._state.rows.get(moving.old.endpoint)
+                if row is not None and not moving.planned and not moving.ordered:
+                    nursery.start_soon(ask, row)
+        return bool(answers)
+
     def _answering_again(self, record: LeadershipRecord, won_at: float) -> list[str]:
         """Return the groups whose lost primary answers again and may still go on leading."""
         answering = []
--- a/wharftiller/daemons/sessions/state.py
+++ b/wharftiller/daemons/sessions/state.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import collections
+import math
 from typing import TYPE_CHECKING
 
 import attrs
 import trio
 
 from wharftiller.core.freshness import FreshPoint, FreshPoints
-from wharftiller.core.leadership.lease import LeaseTable
+from wharftiller.core.leadership.lease import LEASE_S, LeaseTable
 from wharftiller.core.leadership.record import Leading, Moving
 from wharftiller.core.sessions.endpoints import EndpointRow
 from wharftiller.core.sessions.figures import AnswerLabels, Figures
@@ -38,6 +39,10 @@
 """
 
 
+RECORD_EXPECTED_S = 1.0
+"""How long after a change was recorded, or a lease ran out, the next is expected, in seconds."""
+
+
 @attrs.define
 class _GroupActivity:
     """Writes and writing transactions of this box that are under way in a group."""
@@ -77,6 +82,8 @@
         self.rows: dict[str, EndpointRow] = {}
         self.pools: dict[str, EndpointPool] = {}
         self.check_soon = trio.Event()
+        self._record_seen = 0
+        self.record_at = -math.inf
         self.figures = Figures()
         log.counts = self.figures.events
 
@@ -121,7 +128,7 @@
         for name, row in self.rows.items():
             if not row.gone and row.is_taken_as_gone(now):
                 row.gone = True
-                row.leaving_since = row.leaving_since or now
+                row.leaving_since = row.leaving_since or row.missing_since or now
                 self.log.change("endpoint_gone", endpoint=name, group=row.entry.group)
                 self.wake()
 
@@ -202,16 +209,22 @@
         return False
 
     def primary_expected(self, group: str) -> bool:
-        """Return whether a usable primary may be known soon."""
-        state = self.leases.record.groups.get(group)
-        if not isinstance(state, Leading):
-            return True
-        if self.leases.lease(group, trio.current_time()) is None:
-            return True
-        row = self.rows.get(state.endpoint)
-        if row is None or row.unreachable_since is None:
-            return True
-        return trio.current_time() - row.unreachable_since < PRIMARY_EXPECTED_S
+        """Return whether a usable primary is likely to be known within a second or so."""
+        now = trio.current_time()
+        match self.leases.record.groups.get(group):
+            case Moving(planned=True) | Moving(ordered=True):
+                return True
+            case Moving():
+                # Decided within moments, or else a silent box's lease is waited for.
+                return now - self.record_at < RECORD_EXPECTED_S
+            case Leading(endpoint):
+                row = self.rows.get(endpoint)
+                if row is not None and row.unreachable_since is not None:
+                    return now - row.unreachable_since < PRIMARY_EXPECTED_S
+                lease = self.leases.last_lease(group)
+                return lease is None or now - lease.checked_at < LEASE_S + RECORD_EXPECTED_S
+            case None:
+                return True
 
     def is_usable(self, row: EndpointRow) -> bool:
         """Return whether a statement sent to ``row`` now is likely to be answered."""
@@ -227,6 +240,9 @@
 
     def wake(self) -> None:
         """Wake everyone who waits for a change."""
+        if self._record_seen != self.leases.record.revision:
+            self._record_seen = self.leases.record.revision
+            self.record_at = trio.current_time()
         self._changed.set()
         self._changed = trio.Event()
 
