Let leases outlast most cuts; take changes over early while they are not ordered

Ruled out: a lease of 8 s (a planned change with a silent box then stops writes for 3.4 s in the test of it: the leaving primary may be used 5.5 s only). Change: leases of 6 s; the window to order runs from the ordered update, so that what was not ordered can be taken over after 2 s from a silent holder and what was ordered after 5 s; lost primaries are asked before every box is; abandoned streams are reset.

--- a/wharftiller/core/leadership/lease.py
+++ b/wharftiller/core/leadership/lease.py
@@ -24,11 +24,12 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-LEASE_S = 4.0
+LEASE_S = 6.0
 """How long a check counts, in seconds.
 
-Two missed checks (1 s apart, 1 s to give up on each) and a margin; it is also the
-longest wait of a change of primary that a silent box causes.
+As long as most cuts that were seen (4 to 7 s): boxes on the primary's side of one go on
+writing until it heals. It is the longest wait of a change of primary that a silent box
+causes; longer ones outlast the time for which a leaving primary may be used (5.5 s).
 """
 
 LISTING_S = 12.0
--- a/wharftiller/core/leadership/moves.py
+++ b/wharftiller/core/leadership/moves.py
@@ -21,12 +21,11 @@
 a pause of a second is borne first; every further second stops the group's writes.
 """
 
-UNREACHABLE_BEHIND_CUT_S = 4.0
+UNREACHABLE_BEHIND_CUT_S = 2.0
 """How long it must be silent where some boxes are silent too, in seconds.
 
-Those boxes may be on its side of a cut and acknowledge writes on it, which a change
-would throw away, and the change waits for their leases in any case. Cuts of the
-deployments served last 4 to 7 s; with the lease (4 s) a change still ends within 12 s.
+The change then waits for those boxes' leases (6 s) and is called off if the primary
+answers meanwhile; all together must stay within 12 s.
 """
 
 LAPSED_S = 4.8
@@ -42,16 +41,28 @@
 HAND_OVER_TURN_S = 0.3
 """Time by which each further box leaves a planned change to those before it, in seconds."""
 
-SEND_WINDOW_S = 6.0
-"""Time after asking for the record within which its winner may order the promotion.
+SEND_WINDOW_S = 2.0
+"""Time after asking for an ordered record within which its holder may order the promotion.
 
-The lease that it waits for (4 s), the promotion's own call (1.5 s) and a margin.
+A read of the answer and the call's own connection, with a margin for a busy box.
 """
 
-TAKE_OVER_S = 9.0
-"""Time after which another box may take a change over, from seeing it, in seconds.
+TAKE_OVER_ORDERED_S = 5.0
+"""Time after which another box may take over a change that may have been ordered, in seconds.
 
-The winner's window, its call's time-out (1.5 s) and a margin for a late effect.
+The holder's window (2 s), its call's time-out (1.5 s) and a margin for a late effect.
+"""
+
+TAKE_OVER_SILENT_S = 2.0
+"""Time after which a change that was not ordered is taken over from a silent box, in seconds.
+
+Its holder cannot order it any more: that needs an update of the record as it stood.
+"""
+
+TAKE_OVER_S = 12.0
+"""Time after which any change that was not ordered is taken over, in seconds.
+
+More than the longest that a working holder takes: the lease (6 s) and its questions.
 """
 
 
--- a/wharftiller/daemons/sessions/boxes.py
+++ b/wharftiller/daemons/sessions/boxes.py
@@ -31,7 +31,7 @@
     from wharftiller.edges.transport import Transport
 
 ROUND_S = 1.0
-"""Time between rounds, in seconds: a lease of 4 s survives two that fail."""
+"""Time between rounds, in seconds: a lease of 6 s survives four that fail."""
 
 ROUND_TIMEOUT_S = 0.7
 """Time a box has to answer in a round, in seconds."""
--- a/wharftiller/daemons/sessions/mover.py
+++ b/wharftiller/daemons/sessions/mover.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -12,7 +13,9 @@
 from wharftiller.core.leadership.lease import LEASE_S, LISTING_S
 from wharftiller.core.leadership.moves import (
     SEND_WINDOW_S,
+    TAKE_OVER_ORDERED_S,
     TAKE_OVER_S,
+    TAKE_OVER_SILENT_S,
     Candidate,
     best_candidate,
     is_lost,
@@ -246,25 +249,42 @@
 
     async def _drive(self, record: LeadershipRecord) -> None:
         """Carry on the changes that this box holds."""
-        asked_at, won_at = self._won(record)
-        answering = await self._everyone_stopped(record, won_at)
-        if answering:
-            for group in answering:
-                record = record.with_group(group, record.moving[group].old)
-            await self._write(record)
-            await self._directory.tell_record(self._state.leases.record)
-            return
-        if await self._old_ones_answer(record):
-            # The next look calls the change off.
-            return
-        settled = await self._ready_to_order(record)
-        if settled != record and not await self._write(settled):
-            return
-        record = self._state.leases.record
+        if not all(moving.ordered for moving in record.moving.values()):
+            if not await self._stop_and_mark(record):
+                return
+            record = self._state.leases.record
+        asked_at = self._attempts.get(record.attempt, -math.inf)
         if trio.current_time() - asked_at > SEND_WINDOW_S:
             await self._write(self._as_holder(record))
-        elif record.holder == self._incarnation and record.groups == settled.groups:
-            await self._promote_all(record)
+            return
+        not_running = await self._promote_all(record)
+        for group in not_running:
+            best = await self._best_successor(group, record.moving[group])
+            moving = attrs.evolve(record.moving[group], successor=best)
+            record = record.with_group(group, moving)
+        if not_running:
+            await self._write(record)
+
+    async def _stop_and_mark(self, record: LeadershipRecord) -> bool:
+        """Have every box stop, then mark the changes as ordered; return whether they are."""
+        _, won_at = self._won(record)
+        if await self._called_off(record, await self._lost_that_answer(record)):
+            return False
+        answering = await self._everyone_stopped(record, won_at)
+        answering = answering or await self._lost_that_answer(record)
+        if await self._called_off(record, answering):
+            return False
+        return await self._write(await self._ready_to_order(record))
+
+    async def _called_off(self, record: LeadershipRecord, answering: list[str]) -> bool:
+        """Let the primaries of the groups ``answering`` go on leading, if there are any."""
+        if not answering:
+            return False
+        for group in answering:
+            record = record.with_group(group, record.moving[group].old)
+        await self._write(record)
+        await self._directory.tell_record(self._state.leases.record)
+        return True
 
     def _won(self, record: LeadershipRecord) -> tuple[float, float]:
         """Return when the record was asked for and when this box learned that it won it."""
@@ -317,21 +337,21 @@
             return False
         return self._take_listing(listing, asked_at)
 
-    async def _old_ones_answer(self, record: LeadershipRecord) -> bool:
-        """Ask every lost primary once more before anything is ordered."""
-        answers: list[EndpointStatus] = []
+    async def _lost_that_answer(self, record: LeadershipRecord) -> list[str]:
+        """Ask every lost primary once more; return the groups whose answers."""
+        answering: list[str] = []
 
-        async def ask(row: EndpointRow) -> None:
-            status = await self._status(row)
-            if status is not None:
-                answers.append(status)
+        async def ask(group: str, row: EndpointRow) -> None:
+            if await self._status(row) is not None:
+                self._state.log.change("old_primary_answers", group=group, endpoint=row.name)
+                answering.append(group)
 
         async with trio.open_nursery() as nursery:
-            for moving in record.moving.values():
+            for group, moving in record.moving.items():
                 row = self._state.rows.get(moving.old.endpoint)
                 if row is not None and not moving.planned and not moving.ordered:
-                    nursery.start_soon(ask, row)
-        return bool(answers)
+                    nursery.start_soon(ask, group, row)
+        return answering
 
     def _answering_again(self, record: LeadershipRecord, won_at: float) -> list[str]:
         """Return the groups whose lost primary answers again and may still go on leading."""
@@ -405,21 +425,32 @@
             return moving.successor
         return best.name
 
-    async def _promote_all(self, record: LeadershipRecord) -> None:
-        """Order every promotion, then record those that took effect."""
+    async def _promote_all(self, record: LeadershipRecord) -> list[str]:
+        """Order every promotion and record those that took effect.
+
+        Returns
+        -------
+        list of str
+            The groups whose successor is not running.
+        """
         led: dict[str, Leading] = {}
+        not_running: list[str] = []
 
         async def promote(group: str, moving: Moving) -> None:
-            if await self._promote(group, moving, record.fence):
-                leading = await self._leading(moving)
-                if leading is not None:
-                    led[group] = leading
+            if not await self._promote(group, moving, record.fence):
+                not_running.append(group)
+                return
+            leading = await self._leading(moving)
+            if leading is not None:
+                led[group] = leading
 
         async with trio.open_nursery() as nursery:
             for group, moving in record.moving.items():
                 nursery.start_soon(promote, group, moving)
         if led:
             await self._record_led(record, led)
+            return []
+        return not_running
 
     async def _promote(self, group: str, moving: Moving, fence: int) -> bool:
         holder = self._state.box
@@ -475,11 +506,15 @@
         now = trio.current_time()
         if self._seen is None or self._seen.fence != record.fence:
             self._seen = _Seen(record.fence, now)
-        seen_s = now - self._seen.at
-        if seen_s > TAKE_OVER_S:
-            return True
         turn = turn_of(self._state.box, self._directory.replies, str(record.fence))
-        return self._holder_restarted(record.holder) and seen_s > (1 + turn) * FIRST_TURN_S
+        seen_s = now - self._seen.at - turn * FIRST_TURN_S
+        if self._holder_restarted(record.holder):
+            return seen_s > FIRST_TURN_S
+        if any(moving.ordered for moving in record.moving.values()):
+            return seen_s > TAKE_OVER_ORDERED_S
+        holder = record.holder.rpartition("/")[0]
+        silent = holder not in self._directory.replies
+        return seen_s > (TAKE_OVER_SILENT_S if silent else TAKE_OVER_S)
 
     def _holder_restarted(self, holder: str) -> bool:
         """Return whether the holder's box runs another process by now."""
--- a/wharftiller/edges/transport.py
+++ b/wharftiller/edges/transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import ipaddress
+import struct
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -15,6 +16,12 @@
 BACKLOG = 1024
 KEEPALIVE_IDLE_S = 120
 
+CLOSED = -1
+"""Descriptor of a closed socket."""
+
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""Lingering for no time: closing resets the connection."""
+
 
 class Transport(Protocol):
     """Opens and accepts streams by ``ip:port``."""
@@ -99,5 +106,16 @@
 
 
 async def close_now(stream: trio.abc.AsyncResource) -> None:
-    """Close ``stream`` without waiting for the other side."""
+    """Close ``stream`` without waiting for the other side.
+
+    A TCP stream is reset: what a cut holds up on the way must not arrive once it
+    heals, when nobody waits for an answer any more.
+    """
+    reset_on_close(stream)
     await trio.aclose_forcefully(stream)
+
+
+def reset_on_close(stream: trio.abc.AsyncResource) -> None:
+    """Have a TCP stream that is still open be reset when it is closed."""
+    if isinstance(stream, trio.SocketStream) and stream.socket.fileno() != CLOSED:
+        stream.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, RESET_ON_CLOSE)
--- a/wharftiller/platform/endpoints.py
+++ b/wharftiller/platform/endpoints.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import struct
 from typing import TYPE_CHECKING
 
 import trio
@@ -10,6 +9,7 @@
 from wharftiller.core.errors import EndpointRefusedError, ExchangeError
 from wharftiller.core.sessions.statements import AskStatus, EndpointQuery, RefusalKind
 from wharftiller.daemons.sessions.relay import open_through
+from wharftiller.edges.transport import reset_on_close
 from wharftiller.platform.wire import (
     LineReader,
     decode,
@@ -24,9 +24,6 @@
     from wharftiller.core.sessions.statements import EndpointStatus, Reply
     from wharftiller.edges.transport import Transport
 
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
-"""Lingering for no time: closing resets the connection."""
-
 
 class LineConnection:
     """A connection to an endpoint."""
@@ -59,7 +56,7 @@
     def close(self) -> None:
         """Close at once; what a cut holds up on the way is lost with it."""
         if isinstance(self._stream, trio.SocketStream):
-            self._stream.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_LINGER, RESET_ON_CLOSE)
+            reset_on_close(self._stream)
             self._stream.socket.close()
         else:
             self._stream.close_now()  # type: ignore[attr-defined]
