Large deployments: one box a data centre reads the platform for the others

Ruled out: every box reading the platform (72 boxes, calls are dear there). Change: from 16 other boxes on, boxes ask a reader of their data centre, which tells what it read and when; a lease counts from that read, if the asking box was listed in it. Rounds remain for outages, at most one per need.

--- a/wharftiller/daemons/sessions/boxes.py
+++ b/wharftiller/daemons/sessions/boxes.py
@@ -14,10 +14,7 @@
 import trio
 
 from wharftiller.core.errors import BadRequestError, ExchangeError, UnknownPathError
-from wharftiller.core.freshness import FreshPoint
 from wharftiller.core.leadership.lease import RoundAnswer
-from wharftiller.core.leadership.record import Leading
-from wharftiller.core.positions import LogPosition
 from wharftiller.core.rendezvous import ranked
 from wharftiller.edges.http_client import HttpClient
 from wharftiller.edges.http_server import HttpRequest, HttpResponse
@@ -27,12 +24,16 @@
     from collections.abc import Callable
 
     from wharftiller.core.leadership.record import LeadershipRecord
+    from wharftiller.daemons.sessions.readers import ReaderDesk
     from wharftiller.daemons.sessions.state import SharedState
     from wharftiller.edges.transport import Transport
 
 ROUND_S = 1.0
 """Time between rounds, in seconds: a lease of 6 s survives four that fail."""
 
+REPLIES_KEPT_S = 5.0
+"""Time for which a round's answers say who lives, in seconds."""
+
 ROUND_TIMEOUT_S = 0.7
 """Time a box has to answer in a round, in seconds."""
 
@@ -111,23 +112,40 @@
         self._clients: dict[str, HttpClient] = {}
         self.incarnation = incarnation
         self.boxes: dict[str, Box] = {}
-        self.replies: dict[str, BoxReply] = {}
+        self._replies: dict[str, BoxReply] = {}
         self.listed_since: float | None = None
+        self.round_at = -math.inf
         self.platform_answers = False
         self.platform_read_at = -math.inf
 
+    @property
+    def replies(self) -> dict[str, BoxReply]:
+        """The answers of the last round, unless it was long ago."""
+        if trio.current_time() - self.round_at > REPLIES_KEPT_S:
+            return {}
+        return self._replies
+
     def take_list(self, boxes: dict[str, Box]) -> None:
         """Take in the platform's list of the other boxes."""
         for name in boxes.keys() - self.boxes.keys():
             self._state.log.change("box_listed", other=name)
         for name in self.boxes.keys() - boxes.keys():
             self._state.log.change("box_unlisted", other=name)
-            self.replies.pop(name, None)
+            self._replies.pop(name, None)
         self.boxes = boxes
 
-    async def round(self) -> bool:
-        """Ask every other box; return whether the answers renewed the leases."""
+    async def round(self, *, no_older_than_s: float = 0.0) -> bool:
+        """Ask every other box; return whether the answers renewed the leases.
+
+        Parameters
+        ----------
+        no_older_than_s : float
+            A round that began within this time is taken as this one.
+        """
         asked_at = trio.current_time()
+        if asked_at - self.round_at < no_older_than_s:
+            return False
+        self.round_at = asked_at
         boxes = dict(self.boxes)
         replies: dict[str, BoxReply] = {}
 
@@ -149,17 +167,17 @@
 
     def _note_contact(self, boxes: dict[str, Box], replies: dict[str, BoxReply]) -> None:
         for name in boxes:
-            known = name in self.replies
+            known = name in self._replies
             if name in replies and not known:
                 self._state.log.change("box_answers", other=name)
             elif name not in replies and known:
                 self._state.log.change("box_silent", other=name)
-        self.replies = replies
+        self._replies = replies
 
     async def _ask_round(self, box: Box, asked_at: float) -> BoxReply | None:
         question = {"box": self._state.box, "revision": self._state.leases.record.revision}
         try:
-            value = await self._post(box, "/peer/round", question, ROUND_TIMEOUT_S)
+            value = await self.post(box, "/peer/round", question, ROUND_TIMEOUT_S)
             return self._take_reply(box, value, asked_at)
         except (ExchangeError, BadRequestError) as error:
             self._state.log.event("box_did_not_answer", other=box.name, why=str(error))
@@ -170,8 +188,7 @@
             record = self._state.leases.record
             if value["record"] is not None:
                 record = record_from_json(value["record"], value["revision"])
-            for group, (lead, term, index, age_ms) in value["points"].items():
-                self._take_point(group, lead, LogPosition(term, index), asked_at - age_ms / 1000)
+            self._state.take_points(value["points"], asked_at)
             answer = RoundAnswer(box.name, bool(value["read"]), record)
             hears = frozenset(map(str, value["hears"]))
             read_at = asked_at - int(value["read_age_ms"]) / 1000
@@ -189,10 +206,11 @@
                 f"{box.name} answered a round with nonsense: {error!r}. Run one version everywhere"
             ) from None
 
-    def _take_point(self, group: str, lead: str, position: LogPosition, at: float) -> None:
-        """Take in a log position that another box had from the primary."""
-        if lead == self._state.lead(group):
-            self._state.points(group).add(FreshPoint(at, position))
+    def live(self) -> list[str]:
+        """Return the other boxes taken to be alive."""
+        if self.replies:
+            return list(self.replies)
+        return [name for name, box in self.boxes.items() if not box.retired]
 
     def relay_to(self, endpoint: str) -> str | None:
         """Return where a box listens that hears ``endpoint``, the nearest first."""
@@ -208,7 +226,14 @@
         box = self.boxes.get(name)
         return box is not None and box.data_centre == self._state.data_centre
 
-    async def _post(self, box: Box, path: str, body: Any, timeout_s: float) -> Any:
+    async def post(self, box: Box, path: str, body: Any, timeout_s: float) -> Any:
+        """Ask a box something; return its answer.
+
+        Raises
+        ------
+        ExchangeError
+            If it does not answer in time.
+        """
         client = self._client(box.address)
         answer = await client.request("POST", path, body, timeout_s=timeout_s)
         if answer.status != 200:
@@ -235,7 +260,7 @@
         """
         body = {"revision": record.revision, "record": record_to_json(record)}
         try:
-            value = await self._post(box, "/peer/stop", body, WORD_TIMEOUT_S)
+            value = await self.post(box, "/peer/stop", body, WORD_TIMEOUT_S)
         except ExchangeError as error:
             self._state.log.event("word_not_given", other=box.name, why=str(error))
             return None
@@ -256,7 +281,7 @@
     async def _tell(self, path: str, body: Any) -> None:
         async def tell(box: Box) -> None:
             try:
-                await self._post(box, path, body, ROUND_TIMEOUT_S)
+                await self.post(box, path, body, ROUND_TIMEOUT_S)
             except ExchangeError as error:
                 self._state.log.event("box_not_told", other=box.name, what=path, why=str(error))
 
@@ -287,10 +312,15 @@
     """
 
     def __init__(
-        self, state: SharedState, directory: BoxDirectory, known: Callable[[], dict[str, Any]]
+        self,
+        state: SharedState,
+        directory: BoxDirectory,
+        desk: ReaderDesk,
+        known: Callable[[], dict[str, Any]],
     ) -> None:
         self._state = state
         self._directory = directory
+        self._desk = desk
         self._known = known
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
@@ -298,6 +328,8 @@
         match (request.method, request.path):
             case ("POST", "/peer/round"):
                 return HttpResponse(200, self._round(request.json()))
+            case ("POST", "/peer/read"):
+                return HttpResponse(200, self._desk.answer(request.json()))
             case ("POST", "/peer/stop"):
                 return HttpResponse(200, await self._stop(request.json()))
             case ("POST", "/peer/record"):
@@ -326,7 +358,7 @@
             "record": record_to_json(record) if newer else None,
             "version": state.version,
             "endpoints_revision": state.endpoints_revision,
-            "points": self._points(),
+            "points": state.told_points(),
             "hears": self._heard(),
         }
 
@@ -334,17 +366,6 @@
         age_s = min(trio.current_time() - self._directory.platform_read_at, NEVER_READ_S)
         return int(age_s * 1000) + 1
 
-    def _points(self) -> dict[str, tuple[str, int, int, int]]:
-        now = trio.current_time()
-        told = {}
-        for group, state in self._state.leases.record.groups.items():
-            newest = self._state.points(group).newest
-            if isinstance(state, Leading) and newest is not None:
-                position = newest.position
-                age_ms = int((now - newest.at) * 1000) + 1
-                told[group] = (state.endpoint, position.term, position.index, age_ms)
-        return told
-
     def _heard(self) -> list[str]:
         """Return the endpoints that answered lately, and not through another box."""
         now = trio.current_time()
--- a/wharftiller/daemons/sessions/mover.py
+++ b/wharftiller/daemons/sessions/mover.py
@@ -39,9 +39,15 @@
 LOOK_S = 0.15
 """Time between looks at whether a primary must be replaced, in seconds."""
 
+TAKE_OVER_LOOK_S = 1.0
+"""Time between questions whether the holder of a change lives, in seconds."""
+
 FIRST_TURN_S = 0.3
 """Time by which each further box leaves the first record to those before it, in seconds."""
 
+MOST_TURNS = 8
+"""Boxes that start a change one after the other; all further ones start together."""
+
 ASK_AGAIN_S = 0.2
 """Time between questions to boxes and endpoints that did not answer as hoped, in seconds."""
 
@@ -121,7 +127,7 @@
         if record.moving and record.holder == self._incarnation:
             await self._drive(record)
         elif record.moving:
-            if self._may_take_over(record):
+            if await self._may_take_over(record):
                 self._state.log.change("change_taken_over", groups=sorted(record.moving))
                 await self._write(self._as_holder(record))
         else:
@@ -140,7 +146,7 @@
         missing = [g for g in self._state.configuration.groups if g not in record.groups]
         if not groups:
             return
-        turn = turn_of(self._state.box, self._directory.boxes, "first")
+        turn = self._turn("first")
         waited_s = trio.current_time() - self._started_at
         if waited_s < turn * FIRST_TURN_S or (len(groups) < len(missing) and waited_s < 2.0):
             return
@@ -193,13 +199,15 @@
         """Return the change that ``group`` needs, if it is this box's turn to start one."""
         now = trio.current_time()
         row = self._state.rows.get(leading.endpoint)
-        turn = turn_of(self._state.box, self._directory.replies, group)
+        turn = self._turn(group)
         planned = row is not None and must_leave(row, turn, now)
-        all_answer = self._directory.boxes.keys() <= self._directory.replies.keys()
-        if not planned and not is_lost(row, turn, now, all_answer=all_answer):
+        if not planned and not is_lost(row, turn, now):
             return None
         if not planned and await self._is_heard_elsewhere(leading.endpoint):
             return None
+        all_answer = self._directory.boxes.keys() <= self._directory.replies.keys()
+        if not planned and not is_lost(row, turn, now, all_answer=all_answer):
+            return None
         best = best_candidate(await self._candidates(group, leading.endpoint))
         if best is None:
             self._state.log.event("no_successor", group=group, old=leading.endpoint)
@@ -216,8 +224,12 @@
         )
         return Moving(leading, best.name, planned)
 
+    def _turn(self, what: str) -> int:
+        """Return how many boxes go before this one; those far back go together."""
+        return min(MOST_TURNS, turn_of(self._state.box, self._directory.live(), what))
+
     async def _is_heard_elsewhere(self, endpoint: str) -> bool:
-        await self._directory.round()
+        await self._directory.round(no_older_than_s=ASK_AGAIN_S)
         hearing = [n for n, reply in self._directory.replies.items() if endpoint in reply.hears]
         if hearing:
             self._state.log.event("primary_heard_elsewhere", endpoint=endpoint, others=hearing)
@@ -501,13 +513,15 @@
 
     # Taking over --------------------------------------------------------
 
-    def _may_take_over(self, record: LeadershipRecord) -> bool:
+    async def _may_take_over(self, record: LeadershipRecord) -> bool:
         """Return whether the holder of a change can surely order nothing any more."""
         now = trio.current_time()
         if self._seen is None or self._seen.fence != record.fence:
             self._seen = _Seen(record.fence, now)
-        turn = turn_of(self._state.box, self._directory.replies, str(record.fence))
+        turn = self._turn(str(record.fence))
         seen_s = now - self._seen.at - turn * FIRST_TURN_S
+        if seen_s > FIRST_TURN_S:
+            await self._directory.round(no_older_than_s=TAKE_OVER_LOOK_S)
         if self._holder_restarted(record.holder):
             return seen_s > FIRST_TURN_S
         if any(moving.ordered for moving in record.moving.values()):
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -17,6 +17,7 @@
 from wharftiller.daemons.sessions.mover import PrimaryMover
 from wharftiller.daemons.sessions.pool import MAINTENANCE_S
 from wharftiller.daemons.sessions.probes import Prober
+from wharftiller.daemons.sessions.readers import ReaderClient, ReaderDesk
 from wharftiller.daemons.sessions.relay import RelayServer
 from wharftiller.daemons.sessions.retirement import BoxRetirement
 from wharftiller.daemons.sessions.state import SharedState
@@ -61,6 +62,12 @@
 READ_LOOK_S = 0.1
 """Time between looks at whether to read again, in seconds."""
 
+ROUNDS_AFTER_S = 2.5
+"""Age of the newest read from which boxes of a large deployment make rounds, in seconds.
+
+Less than half of the lease (6 s): several rounds fit in before it runs out.
+"""
+
 LEARN_AGAIN_S = 0.5
 """Time between questions to neighbours while nothing is configured, in seconds."""
 
@@ -131,7 +138,9 @@
         self.state = SharedState(identity.name, identity.data_centre, dialer, log, nursery)
         self.sessions = SessionServer(self.state, StatementRunner(self.state))
         self._directory = BoxDirectory(self.state, transport, incarnation)
-        self._box_server = BoxServer(self.state, self._directory, self._known)
+        self._desk = ReaderDesk(self.state, incarnation)
+        self._readers = ReaderClient(self.state, self._directory, self._box, self.take_listing)
+        self._box_server = BoxServer(self.state, self._directory, self._desk, self._known)
         self._prober = Prober(self.state, self._directory, dialer, nursery)
         self.relay = RelayServer(transport, self.state.is_endpoint)
         self._mover = PrimaryMover(
@@ -144,7 +153,9 @@
             incarnation,
             self.take_listing,
         )
-        self._retirement = BoxRetirement(self.state, self._directory, shared, nursery)
+        self._retirement = BoxRetirement(
+            self.state, self._directory, shared, self._desk, self._readers, nursery
+        )
         self._feeds = feeds(self.state, self._missed_change_found)
         self._renewed = False
         self._platform_answers: bool | None = None
@@ -187,12 +198,25 @@
         """Renew the leases by rounds; look for news that other boxes have."""
         while True:
             self.state.check_soon = trio.Event()
-            if self._directory.boxes:
+            if self._readers.applies:
+                self._renewed = await self._renew_by_reader()
+            elif self._directory.boxes:
                 self._renewed = await self._directory.round()
                 self._learn_newer()
             with trio.move_on_after(ROUND_S):
                 await self.state.check_soon.wait()
 
+    async def _renew_by_reader(self) -> bool:
+        """Renew the leases through a reader; by a round once that has failed for a while."""
+        renewed = self._readers.is_reader or await self._readers.ask()
+        if self._readers.newer_at is not None:
+            self._nursery.start_soon(self._learn_from, self._readers.newer_at)
+            self._readers.newer_at = None
+        if trio.current_time() - self._directory.platform_read_at > ROUNDS_AFTER_S:
+            await self._directory.round()
+            self._learn_newer()
+        return renewed
+
     async def _read_for_ever(self) -> None:
         """Read the shared objects: often where no other box does it for this one."""
         while True:
@@ -203,16 +227,20 @@
 
     def _read_is_due(self, since_s: float) -> bool:
         """Return whether to read again, ``since_s`` seconds after the last try."""
-        if since_s >= SHARED_READ_S:
-            return True
         if since_s < READER_READS_S:
             return False
+        if self._readers.applies:
+            return self._readers.is_reader or not self._renewed
+        if since_s >= SHARED_READ_S:
+            return True
         read_at = self._directory.platform_read_at
         return self._is_reader or not self._renewed or trio.current_time() - read_at > READ_KNOWN_S
 
     @property
     def _is_reader(self) -> bool:
         """Whether this box reads the platform for all that answer it."""
+        if self._readers.applies:
+            return self._readers.is_reader
         reading = [n for n, reply in self._directory.replies.items() if reply.platform_answers]
         return turn_of(self._box.name, reading, "reader") == 0
 
@@ -229,6 +257,7 @@
             self._platform_answered(False, str(error))
             return
         self._platform_answered(True)
+        self._desk.note(listing, asked_at)
         self.take_listing(listing, asked_at)
         reads_for_others = self._is_reader or not self._renewed
         if reads_for_others or asked_at - self._directory.platform_read_at > READ_KNOWN_S:
--- /dev/null
+++ b/wharftiller/daemons/sessions/readers.py
@@ -0,0 +1,207 @@
+"""Large deployments: one box a data centre reads the platform for the others in it.
+
+Where a deployment has few boxes each asks every other once a second. That grows with
+the square of their number, so from `MANY_BOXES` on each asks only a reader, which
+tells what it read from the platform and when. A read proves the same whoever makes
+it, if the asking box was already listed in it; so a lease renewed by a reader is as
+good as one renewed by an own read. Rounds of all boxes remain for outages.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import attrs
+import trio
+
+from wharftiller.core.errors import BadRequestError, ExchangeError
+from wharftiller.core.rendezvous import ranked
+from wharftiller.daemons.sessions.boxes import ROUND_TIMEOUT_S, Box
+from wharftiller.daemons.sessions.seams import SharedListing
+from wharftiller.edges.leadership_json import record_from_json, record_to_json
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wharftiller.daemons.sessions.boxes import BoxDirectory
+    from wharftiller.daemons.sessions.state import SharedState
+
+MANY_BOXES = 16
+"""Other boxes from which readers take the place of rounds.
+
+A round of 15 costs a box about 1% of a core and the deployment 0.1 MB a second; both
+grow with the square of the number.
+"""
+
+READERS_TRIED = 2
+"""Readers asked in turn before a box reads the platform itself."""
+
+READ_FRESH_S = 2.5
+"""Age beyond which a reader's read is not worth taking, in seconds: three of its pauses."""
+
+ASKED_LATELY_S = 5.0
+"""A box that has not asked its reader for so long counts as silent, in seconds."""
+
+
+@attrs.define
+class LastRead:
+    """The newest read of the platform that this box made itself."""
+
+    listing: SharedListing | None = None
+    asked_at: float = 0.0
+    list_revision: int = 0
+
+
+class ReaderDesk:
+    """Answers boxes that ask this one for its reads."""
+
+    def __init__(self, state: SharedState, incarnation: str) -> None:
+        self._state = state
+        self._incarnation = incarnation
+        self._last = LastRead()
+        self.asked_at: dict[str, float] = {}
+
+    def note(self, listing: SharedListing, asked_at: float) -> None:
+        """Keep a read that this box made."""
+        known = self._last.listing
+        if known is None or known.boxes != listing.boxes:
+            self._last.list_revision = listing.revision
+        self._last.listing = listing
+        self._last.asked_at = asked_at
+
+    def answer(self, question: Any) -> dict[str, Any]:
+        """Return what was read last, as far as the asking box does not know it.
+
+        Raises
+        ------
+        BadRequestError
+            If the question is none.
+        """
+        try:
+            name, incarnation = str(question["box"]), str(question["incarnation"])
+            revision, list_revision = int(question["revision"]), int(question["list_revision"])
+        except (KeyError, TypeError, ValueError) as error:
+            raise BadRequestError(f"no question to a reader: {error!r}; run one version") from None
+        now = trio.current_time()
+        self.asked_at[name] = now
+        listing = self._last.listing
+        if listing is None:
+            return {"read": False}
+        listed = listing.boxes.get(name)
+        told: dict[str, Any] = {
+            "read": True,
+            "age_ms": int((now - self._last.asked_at) * 1000) + 1,
+            "listed": listed is not None and listed.incarnation == incarnation,
+            "revision": listing.record.revision,
+            "record": None,
+            "list_revision": self._last.list_revision,
+            "boxes": None,
+            "version": self._state.version,
+            "endpoints_revision": self._state.endpoints_revision,
+            "points": self._state.told_points(),
+        }
+        if listing.record.revision > revision:
+            told["record"] = record_to_json(listing.record)
+        if self._last.list_revision != list_revision:
+            told["boxes"] = [attrs.asdict(box) for box in listing.boxes.values()]
+        return told
+
+
+class ReaderClient:
+    """Asks readers for what they read.
+
+    Parameters
+    ----------
+    take : callable
+        Takes a listing and when it was asked for; returns whether this box is in it.
+    """
+
+    def __init__(
+        self,
+        state: SharedState,
+        directory: BoxDirectory,
+        box: Box,
+        take: Callable[[SharedListing, float], bool],
+    ) -> None:
+        self._state = state
+        self._directory = directory
+        self._box = box
+        self._take = take
+        self._list_revision = 0
+        self._boxes: dict[str, Box] = {}
+        self.newer_at: str | None = None
+
+    @property
+    def data_centre(self) -> str:
+        """Where this box stands."""
+        return self._box.data_centre
+
+    @property
+    def applies(self) -> bool:
+        """Whether the deployment is large enough for readers."""
+        return len(self._directory.boxes) >= MANY_BOXES
+
+    def readers(self) -> list[Box]:
+        """Return the boxes to ask in this box's data centre, best first, this one among them."""
+        near = {
+            name: box
+            for name, box in {**self._directory.boxes, self._box.name: self._box}.items()
+            if box.data_centre == self._box.data_centre and not box.retired
+        }
+        return [near[name] for name in ranked("reader", near)]
+
+    @property
+    def is_reader(self) -> bool:
+        """Whether this box reads for the others in its data centre."""
+        return self.readers()[0].name == self._box.name
+
+    async def ask(self) -> bool:
+        """Ask a reader; return whether its read was taken and is recent."""
+        for reader in self.readers()[:READERS_TRIED]:
+            if reader.name == self._box.name:
+                return False
+            if await self._ask(reader):
+                return True
+        return False
+
+    async def _ask(self, reader: Box) -> bool:
+        asked_at = trio.current_time()
+        question = {
+            "box": self._box.name,
+            "incarnation": self._box.incarnation,
+            "revision": self._state.leases.record.revision,
+            "list_revision": self._list_revision,
+        }
+        try:
+            value = await self._directory.post(reader, "/peer/read", question, ROUND_TIMEOUT_S)
+            return self._take_answer(reader, value, asked_at)
+        except (ExchangeError, BadRequestError) as error:
+            self._state.log.event("reader_did_not_answer", other=reader.name, why=str(error))
+            return False
+
+    def _take_answer(self, reader: Box, value: Any, asked_at: float) -> bool:
+        try:
+            if not value["read"] or not value["listed"]:
+                return False
+            # The reader's age counts back from an answer that came after the question.
+            read_at = asked_at - float(value["age_ms"]) / 1000
+            record = self._state.leases.record
+            if value["record"] is not None:
+                record = record_from_json(value["record"], value["revision"])
+            elif record.revision > value["revision"]:
+                record = attrs.evolve(record, revision=value["revision"])
+            if value["boxes"] is not None:
+                self._boxes = {each["name"]: Box(**each) for each in value["boxes"]}
+                self._list_revision = int(value["list_revision"])
+            newer = value["version"] > self._state.version
+            newer |= value["endpoints_revision"] > self._state.endpoints_revision
+            self._state.take_points(value["points"], asked_at)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            raise BadRequestError(
+                f"{reader.name} told nonsense: {error!r}; run one version"
+            ) from None
+        self.newer_at = reader.address if newer else None
+        self._directory.platform_read_at = max(self._directory.platform_read_at, read_at)
+        if value["revision"] == record.revision:
+            self._take(SharedListing(record, dict(self._boxes)), read_at)
+        return trio.current_time() - read_at < READ_FRESH_S
--- a/wharftiller/daemons/sessions/retirement.py
+++ b/wharftiller/daemons/sessions/retirement.py
@@ -8,16 +8,19 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 from wharftiller.core.errors import PlatformUnavailableError
 from wharftiller.core.leadership.lease import LEASE_S, LISTING_S
 from wharftiller.core.leadership.moves import turn_of
+from wharftiller.daemons.sessions.readers import ASKED_LATELY_S
 
 if TYPE_CHECKING:
     import trio
 
     from wharftiller.daemons.sessions.boxes import Box, BoxDirectory
+    from wharftiller.daemons.sessions.readers import ReaderClient, ReaderDesk
     from wharftiller.daemons.sessions.seams import SharedObjects
     from wharftiller.daemons.sessions.state import SharedState
 
@@ -39,19 +42,23 @@
         state: SharedState,
         directory: BoxDirectory,
         shared: SharedObjects,
+        desk: ReaderDesk,
+        readers: ReaderClient,
         nursery: trio.Nursery,
     ) -> None:
         self._state = state
         self._directory = directory
+        self._desk = desk
+        self._readers = readers
         self._shared = shared
         self._nursery = nursery
         self._silent_since: dict[Box, float] = {}
 
     def look(self, boxes: dict[str, Box], now: float) -> None:
         """Look at the list as read from the platform at ``now`` (seconds)."""
-        silent = [box for name, box in boxes.items() if name not in self._directory.replies]
+        silent = [box for name, box in boxes.items() if self._is_silent(box, now)]
         self._silent_since = {box: self._silent_since.get(box, now) for box in silent}
-        if turn_of(self._state.box, self._directory.replies, "reader") != 0:
+        if not self._is_reader():
             return
         for box, since in self._silent_since.items():
             if not box.retired and now - since > SILENT_S:
@@ -59,6 +66,19 @@
             elif box.retired and now - since > MARKED_S:
                 self._nursery.start_soon(self._remove, box)
 
+    def _is_silent(self, box: Box, now: float) -> bool:
+        if not self._readers.applies:
+            return box.name not in self._directory.replies
+        if box.data_centre != self._readers.data_centre:
+            # The reader over there looks after it.
+            return False
+        return now - self._desk.asked_at.get(box.name, -math.inf) > ASKED_LATELY_S
+
+    def _is_reader(self) -> bool:
+        if self._readers.applies:
+            return self._readers.is_reader
+        return turn_of(self._state.box, self._directory.replies, "reader") == 0
+
     async def _retire(self, box: Box) -> None:
         try:
             await self._shared.retire(box, self._directory.incarnation)
--- a/wharftiller/daemons/sessions/state.py
+++ b/wharftiller/daemons/sessions/state.py
@@ -12,6 +12,7 @@
 from wharftiller.core.freshness import FreshPoint, FreshPoints
 from wharftiller.core.leadership.lease import LEASE_S, LeaseTable
 from wharftiller.core.leadership.record import Leading, Moving
+from wharftiller.core.positions import LogPosition
 from wharftiller.core.sessions.endpoints import EndpointRow
 from wharftiller.core.sessions.figures import AnswerLabels, Figures
 from wharftiller.core.sessions.routes import EndpointEntry, SessionConfiguration
@@ -22,7 +23,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from wharftiller.core.positions import LogPosition
     from wharftiller.core.sessions.session import Session
     from wharftiller.core.sessions.statements import Refusal, Reply, Statement
     from wharftiller.daemons.sessions.pool import PooledConnection
@@ -262,6 +262,26 @@
         if position is not None and self.may_acknowledge(row):
             self.points(row.entry.group).add(FreshPoint(asked_at, position))
 
+    def told_points(self) -> dict[str, tuple[str, int, int, int]]:
+        """Return each primary's newest known log position, with its age, for another box."""
+        now = trio.current_time()
+        told = {}
+        for group, state in self.leases.record.groups.items():
+            newest = self.points(group).newest
+            if isinstance(state, Leading) and newest is not None:
+                position = newest.position
+                age_ms = int((now - newest.at) * 1000) + 1
+                told[group] = (state.endpoint, position.term, position.index, age_ms)
+        return told
+
+    def take_points(self, told: dict[str, tuple[str, int, int, int]], asked_at: float) -> None:
+        """Take in the log positions that another box told when asked at ``asked_at``."""
+        for group, (lead, term, index, age_ms) in told.items():
+            if lead == self.lead(group):
+                # The age counts back from the answer, which came after the question.
+                at = asked_at - age_ms / 1000
+                self.points(group).add(FreshPoint(at, LogPosition(term, index)))
+
     def learn_refusal(self, row: EndpointRow, refusal: Refusal, after: LogPosition | None) -> None:
         """Note what an endpoint's refusal tells of it."""
         self.figures.statements[row.name, refusal.kind.value] += 1
--- /dev/null
+++ b/wharftiller/tests/platform/test_readers.py
@@ -0,0 +1,100 @@
+"""Large deployments: one box a data centre reads the platform for the others."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from standins.object_store import Mood
+from wharftiller.daemons.sessions import readers
+from wharftiller.tests.platform.test_changes_of_primary import STORE_IP, write_until_done
+from wharftiller.tests.platform.world import World, run_in_world
+
+BOXES = 9
+
+
+@pytest.fixture(autouse=True)
+def _large(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Take a deployment of nine boxes for a large one."""
+    monkeypatch.setattr(readers, "MANY_BOXES", 4)
+
+
+def reading(world: World) -> list[str]:
+    """Return the boxes that read for others."""
+    return [
+        box.name
+        for box in world.boxes.values()
+        if box.process.proxy is not None and box.process.proxy._is_reader
+    ]
+
+
+class TestReaders:
+    def test_one_box_a_data_centre_reads_and_all_may_write(self) -> None:
+        async def story(world: World) -> None:
+            await trio.sleep(10)
+            assert len(reading(world)) == 3
+            before = world.store.calls
+            await trio.sleep(20)
+            assert world.store.calls - before < 20 * 3 * 2
+            for box in world.boxes.values():
+                caller = await world.call(box, "primary")
+                assert (await caller.ask("WRITE seat1 x"))[0] == "ROW written"
+
+        run_in_world(story, boxes=BOXES)
+
+    def test_an_outage_of_the_platform_stops_no_write(self) -> None:
+        async def story(world: World) -> None:
+            callers = [await world.call(box, "primary") for box in world.boxes.values()]
+            world.store.mood = Mood.AWAY
+            for _ in range(100):
+                for caller in callers:
+                    assert (await caller.ask("WRITE seat1 x"))[0] == "ROW written"
+                await trio.sleep(0.02)
+
+        run_in_world(story, boxes=BOXES)
+
+    def test_a_dead_reader_is_replaced_by_the_next(self) -> None:
+        async def story(world: World) -> None:
+            await world.kill_box(world.boxes[reading(world)[0]])
+            await trio.sleep(8)
+            for box in world.boxes.values():
+                caller = await world.call(box, "primary")
+                assert (await caller.ask("WRITE seat1 x"))[0] == "ROW written"
+
+        run_in_world(story, boxes=BOXES)
+
+    def test_a_reader_cut_from_the_platform_is_not_believed_for_long(self) -> None:
+        async def story(world: World) -> None:
+            world.network.cut([world.boxes[reading(world)[0]].ip], [STORE_IP])
+            world.store.deaf_watches = True
+            document = world.store.spec("config", "main")
+            await trio.sleep(3)
+            world.store.set("config", "main", {**document, "Version": 7})
+            await trio.sleep(3)
+            for box in world.boxes.values():
+                assert box.process.proxy is not None
+                assert box.process.proxy.state.version == 7
+
+        run_in_world(story, boxes=BOXES)
+
+    def test_a_dark_primary_is_replaced_within_seconds(self) -> None:
+        async def story(world: World) -> None:
+            group = world.groups[0]
+            caller = await world.call(world.boxes["box-1"], "primary")
+            await caller.ask("WRITE seat1 anna")
+            world.kill_server(group.primary)
+            assert await write_until_done(caller, "WRITE seat2 boris", 8.0) < 5.0
+            assert len(group.promotions) == 1
+
+        run_in_world(story, boxes=BOXES)
+
+    def test_a_box_parted_from_all_stops_writing_by_itself(self) -> None:
+        async def story(world: World) -> None:
+            box = world.boxes["box-1"]
+            caller = await world.call(box, "primary")
+            others = [each.ip for each in world.boxes.values() if each is not box]
+            world.network.cut([box.ip], [*others, STORE_IP])
+            await trio.sleep(7)
+            assert (await caller.ask("WRITE seat1 x"))[0].startswith("ERROR BUSY ")
+
+        run_in_world(story, boxes=BOXES)
