Log what decided each refusal: the primary believed in, lease, silence, ages

Cause: a refusal named its reason but not the inputs; two refusals of the same second could not be told apart on-call (lease run out, or primary silent).

--- a/wharftiller/core/sessions/statements.py
+++ b/wharftiller/core/sessions/statements.py
@@ -175,6 +175,8 @@
         answered by itself.
     position : LogPosition or None
         End of the endpoint's log when it answered.
+    endpoint : str or None
+        Who answered; None where this box did.
     """
 
     state: SessionState
@@ -182,6 +184,7 @@
     proof: str | None = None
     refusal: Refusal | None = None
     position: LogPosition | None = None
+    endpoint: str | None = None
 
 
 @attrs.frozen
--- a/wharftiller/daemons/sessions/pool.py
+++ b/wharftiller/daemons/sessions/pool.py
@@ -84,7 +84,7 @@
                 self.broken = True
                 row.given_up(self.number, trio.current_time(), silent=True)
         row.answered(self.number, trio.current_time(), reply.position)
-        return reply
+        return attrs.evolve(reply, endpoint=row.name)
 
     async def take_on(
         self, session: Session, needed: PreparedStatement | None, *, may_reset: bool = True
--- a/wharftiller/daemons/sessions/state.py
+++ b/wharftiller/daemons/sessions/state.py
@@ -4,7 +4,7 @@
 
 import collections
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import attrs
 import trio
@@ -23,6 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from wharftiller.core.sessions.routes import Route
     from wharftiller.core.sessions.session import Session
     from wharftiller.core.sessions.statements import Refusal, Reply, Statement
     from wharftiller.daemons.sessions.pool import PooledConnection
@@ -347,7 +348,28 @@
             outcome,
         )
         self.figures.answered(labels, took_s)
-        self.log.answered(session, statement, reply, took_s, self.version)
+        self.log.answered(session, statement, reply, took_s, lambda: self.believed(route))
+
+    def believed(self, route: Route | None) -> dict[str, Any]:
+        """Return what decides a statement's outcome on ``route``, with ages and versions."""
+        if route is None:
+            return {"version": self.version}
+        now = trio.current_time()
+        lead = self.lead(route.group)
+        lease = self.leases.last_lease(route.group)
+        newest = self.points(route.group).newest
+        row = self.rows.get(lead or "")
+        silent_since = row.unreachable_since if row is not None else None
+        return {
+            "version": self.version,
+            "group": route.group,
+            "record": self.leases.record.revision,
+            "lead": lead,
+            "moving": route.group in self.leases.record.moving,
+            "lease_age_ms": None if lease is None else _ms(now - lease.checked_at),
+            "lead_silent_ms": None if silent_since is None else _ms(now - silent_since),
+            "point_age_ms": None if newest is None else _ms(now - newest.at),
+        }
 
     def log_passed_over(self, row: EndpointRow, statement: Statement, why: str) -> None:
         """Log that an endpoint was asked and did not serve."""
@@ -355,3 +377,7 @@
         self.log.event(
             "endpoint_passed_over", request=statement.request_id, endpoint=row.name, why=why
         )
+
+
+def _ms(seconds: float) -> int:
+    return round(seconds * 1000)
--- a/wharftiller/decisions.py
+++ b/wharftiller/decisions.py
@@ -87,9 +87,20 @@
         self._write(event, fields)
 
     def answered(
-        self, session: Session, statement: Statement, reply: Reply, took_s: float, version: int
+        self,
+        session: Session,
+        statement: Statement,
+        reply: Reply,
+        took_s: float,
+        believed: Callable[[], dict[str, Any]],
     ) -> None:
-        """Log how a statement ended, if it is out of the ordinary or sampled."""
+        """Log how a statement ended, if it is out of the ordinary or sampled.
+
+        Parameters
+        ----------
+        believed : callable
+            Returns what the box believed that decided the outcome, with its age or version.
+        """
         refusal = reply.refusal
         if refusal is None and took_s < SLOW_S and not _sampled(statement.request_id):
             return
@@ -99,8 +110,9 @@
             "database": session.database,
             "body": type(statement.body).__name__,
             "took_ms": round(took_s * 1000),
-            "version": version,
             "state": reply.state.value,
+            "endpoint": reply.endpoint,
+            **believed(),
         }
         if reply.position is not None:
             fields["position"] = str(reply.position)
