Split the running of statements by kind: single statements, transactions, choice

A routed statement now carries session, route, body, prepared statement and time limits; single statements, transactions, the choice of endpoints and the confirmation of writes have a module each. Nothing behaves differently.

--- /dev/null
+++ b/wharftiller/daemons/sessions/choice.py
@@ -0,0 +1,110 @@
+"""Choose the endpoint of a statement and get a connection to it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from wharftiller.core.errors import EndpointRefusedError, ExchangeError
+from wharftiller.core.sessions.routing import AnyReplica, need_of_read, replica_order
+from wharftiller.core.sessions.statements import RefusalKind
+from wharftiller.daemons.sessions.routed import StatementRefusedError, come_back
+
+if TYPE_CHECKING:
+    from collections.abc import Set
+
+    from wharftiller.core.positions import LogPosition
+    from wharftiller.core.sessions.endpoints import EndpointRow
+    from wharftiller.core.sessions.routes import Route
+    from wharftiller.daemons.sessions.pool import PooledConnection
+    from wharftiller.daemons.sessions.routed import RoutedStatement
+    from wharftiller.daemons.sessions.state import SharedState
+
+HOLD_FOR_PRIMARY_S = 0.7
+"""How long a statement waits for a primary while one is being found, in seconds.
+
+Longer than a planned change of primary (0.3 to 0.6 s to promote); below the
+statement time-out of the busiest routes (0.8 s), so that a refusal is still in time.
+"""
+
+
+class EndpointChooser:
+    """Chooses endpoints by what this box believes of them."""
+
+    def __init__(self, state: SharedState) -> None:
+        self._state = state
+
+    async def for_read(
+        self, routed: RoutedStatement, begun_at: float, tried: Set[str] = frozenset()
+    ) -> tuple[EndpointRow, LogPosition | None]:
+        """Return the endpoint for a read and the position that its log must hold.
+
+        Parameters
+        ----------
+        begun_at : float
+            When the read, or the transaction it is part of, began, in seconds.
+        tried : set of str
+            Replicas not to be chosen again.
+
+        Raises
+        ------
+        StatementRefusedError
+            If the read needs a primary and none can be used.
+        """
+        route = routed.route
+        need = need_of_read(route, routed.session, self._state.points(route.group), begun_at)
+        if isinstance(need, AnyReplica):
+            row = self._replica(route, need, tried)
+            if row is not None:
+                primary = self._state.startable(route.group)
+                return row, None if row is primary else need.position
+        return await self.primary(routed), None
+
+    def _replica(self, route: Route, need: AnyReplica, tried: Set[str]) -> EndpointRow | None:
+        state = self._state
+        now = trio.current_time()
+        ordered = replica_order(
+            state.rows_of(route.group),
+            need.position,
+            state.lead(route.group),
+            state.data_centre,
+            state.busy(route.group),
+            now,
+        )
+        return next((row for row in ordered if row.name not in tried), None)
+
+    async def primary(self, routed: RoutedStatement) -> EndpointRow:
+        """Return the primary, waiting a little for one while it is being replaced.
+
+        Raises
+        ------
+        StatementRefusedError
+            If none can be used in time.
+        """
+        state = self._state
+        group = routed.route.group
+        hold_until = min(routed.until, trio.current_time() + HOLD_FOR_PRIMARY_S)
+        with trio.move_on_at(hold_until):
+            while True:
+                row = state.startable(group)
+                if row is not None and state.is_usable(row):
+                    return row
+                if not state.primary_expected(group):
+                    break
+                await state.leadership_changed()
+        detail = f"no primary of {group} can be used now"
+        raise StatementRefusedError(RefusalKind.NO_CAPACITY, come_back(detail))
+
+    async def connect(self, routed: RoutedStatement, row: EndpointRow) -> PooledConnection:
+        """Return a connection to ``row``.
+
+        Raises
+        ------
+        StatementRefusedError
+            If there is none to be had.
+        """
+        try:
+            return await self._state.pool(row).acquire(routed.session, routed.route.priority)
+        except (EndpointRefusedError, ExchangeError) as error:
+            raise StatementRefusedError(RefusalKind.NO_CAPACITY, come_back(str(error))) from error
--- /dev/null
+++ b/wharftiller/daemons/sessions/routed.py
@@ -0,0 +1,123 @@
+"""A caller's statement on its way to an endpoint, and what ends it with a refusal."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from wharftiller.core.sessions.statements import (
+    Access,
+    Commit,
+    Direct,
+    EndpointQuery,
+    Execute,
+    PreparedStatement,
+    RefusalKind,
+    Statement,
+)
+
+if TYPE_CHECKING:
+    from wharftiller.core.positions import LogPosition
+    from wharftiller.core.sessions.routes import Route
+    from wharftiller.core.sessions.session import Session
+    from wharftiller.daemons.sessions.pool import PooledConnection
+
+COME_BACK_MS = 300
+"""When to come back after a refusal that passes soon, in milliseconds."""
+
+MARGIN_S = 0.02
+"""Time kept to answer before a statement's time-out, in seconds."""
+
+BUSY_PAUSE_S = 0.02
+"""Pause before an endpoint that was too busy is asked again, in seconds: one usual statement."""
+
+BUSY_TRIES = 4
+"""Times a statement is offered to an endpoint that is too busy to take it."""
+
+READ_TRIES = 4
+"""Endpoints asked for one read before it is refused."""
+
+SentBody = Direct | Execute | Commit
+"""What of a caller's statements goes to an endpoint as it is."""
+
+
+class StatementRefusedError(Exception):
+    """A statement that ends with a refusal by this box."""
+
+    def __init__(self, kind: RefusalKind, detail: str) -> None:
+        super().__init__(detail)
+        self.kind = kind
+        self.detail = detail
+
+
+@attrs.frozen
+class RoutedStatement:
+    """One statement with everything that decides where it runs and until when.
+
+    Attributes
+    ----------
+    needed : PreparedStatement or None
+        What its endpoint's connection must have a name for.
+    arrived_at, until : float
+        When it came and when its endpoint's answer is too late, in seconds.
+    """
+
+    session: Session
+    route: Route
+    statement: Statement
+    body: SentBody
+    needed: PreparedStatement | None
+    arrived_at: float
+    until: float
+
+    @property
+    def writes(self) -> bool:
+        """Whether it changes data itself; a commit does not."""
+        match self.body:
+            case Direct(access):
+                return access is Access.WRITE
+            case Execute():
+                return self.needed is not None and self.needed.access is Access.WRITE
+            case Commit():
+                return False
+
+    def query(
+        self, connection: PooledConnection, after: LogPosition | None = None
+    ) -> EndpointQuery:
+        """Return what is sent on ``connection``, which may know a prepared name by another."""
+        body = self.body
+        if isinstance(body, Execute) and self.needed is not None:
+            body = attrs.evolve(body, name=connection.prepared[self.needed])
+        return EndpointQuery(body, self.statement, after)
+
+
+def route_statement(
+    session: Session, route: Route, statement: Statement, arrived_at: float
+) -> RoutedStatement:
+    """Return ``statement`` with what it needs to run on ``route``.
+
+    Raises
+    ------
+    StatementRefusedError
+        If it cannot be sent to an endpoint.
+    """
+    needed: PreparedStatement | None = None
+    match statement.body:
+        case Execute(name):
+            needed = session.prepared.get(name)
+            if needed is None:
+                detail = f"nothing is prepared under the name {name}"
+                raise StatementRefusedError(RefusalKind.UNKNOWN_PREPARED, detail)
+        case Direct() | Commit():
+            pass
+        case _:
+            detail = "this cannot be sent to an endpoint"
+            raise StatementRefusedError(RefusalKind.MALFORMED, detail)
+    until = arrived_at + route.timeout_s - MARGIN_S
+    return RoutedStatement(session, route, statement, statement.body, needed, arrived_at, until)
+
+
+def come_back(why: str) -> str:
+    """Return the detail of a refusal that ran nothing and passes soon."""
+    return f"{why}; nothing was run, come back in {COME_BACK_MS} ms"
--- /dev/null
+++ b/wharftiller/daemons/sessions/singles.py
@@ -0,0 +1,172 @@
+"""Run single reads and single writes: statements outside any transaction."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from wharftiller.core.errors import ExchangeError
+from wharftiller.core.sessions.statements import RefusalKind, Reply, SessionState, refused
+from wharftiller.daemons.sessions.confirmation import confirm_write
+from wharftiller.daemons.sessions.routed import (
+    BUSY_PAUSE_S,
+    BUSY_TRIES,
+    READ_TRIES,
+    StatementRefusedError,
+    come_back,
+    route_statement,
+)
+
+if TYPE_CHECKING:
+    from wharftiller.core.positions import LogPosition
+    from wharftiller.core.sessions.endpoints import EndpointRow
+    from wharftiller.core.sessions.routes import Route
+    from wharftiller.core.sessions.session import Session
+    from wharftiller.core.sessions.statements import Statement
+    from wharftiller.daemons.sessions.choice import EndpointChooser
+    from wharftiller.daemons.sessions.pool import PooledConnection
+    from wharftiller.daemons.sessions.routed import RoutedStatement
+    from wharftiller.daemons.sessions.state import SharedState
+
+READ_PATIENCE = 0.45
+"""Part of a read's time-out after which a silent endpoint is given up for another."""
+
+
+class SingleRunner:
+    """Runs the single statements of every session of this box."""
+
+    def __init__(self, state: SharedState, chooser: EndpointChooser) -> None:
+        self._state = state
+        self._chooser = chooser
+
+    async def run(
+        self, session: Session, route: Route, statement: Statement, arrived_at: float
+    ) -> Reply:
+        """Return the answer to a statement outside any transaction."""
+        try:
+            routed = route_statement(session, route, statement, arrived_at)
+            if routed.writes:
+                return await self._write(routed)
+            return await self._read(routed)
+        except StatementRefusedError as error:
+            return refused(error.kind, error.detail, SessionState.IDLE)
+
+    async def _write(self, routed: RoutedStatement) -> Reply:
+        group = routed.route.group
+        self._state.write_began(group)
+        try:
+            for _ in range(BUSY_TRIES):
+                row = await self._chooser.primary(routed)
+                reply = await self._write_once(routed, row)
+                if reply.refusal is None or not reply.refusal.has_not_run:
+                    return reply
+                self._state.learn_refusal(row, reply.refusal, None)
+                if trio.current_time() > routed.until - BUSY_PAUSE_S:
+                    break
+                await trio.sleep(BUSY_PAUSE_S)
+            detail = f"{row.name} did not take it"
+            raise StatementRefusedError(RefusalKind.NO_CAPACITY, come_back(detail))
+        finally:
+            self._state.write_ended(group)
+
+    async def _write_once(self, routed: RoutedStatement, row: EndpointRow) -> Reply:
+        """Return the primary's answer.
+
+        Raises
+        ------
+        StatementRefusedError
+            If none came, or none that may be passed on.
+        """
+        sent = False
+        state = SessionState.IDLE
+        connection: PooledConnection | None = None
+        try:
+            with trio.move_on_at(routed.until):
+                connection = await self._chooser.connect(routed, row)
+                await connection.take_on(routed.session, routed.needed)
+                self._check_leads(routed, row)
+                query = routed.query(connection)
+                sent = True
+                asked_at = trio.current_time()
+                reply = await connection.ask(query)
+                state = reply.state
+                if reply.refusal is None:
+                    self._state.learn_point(row, reply.position, asked_at)
+                    routed.session.wrote(routed.route.group, reply.position)
+                    await confirm_write(self._state, routed.session, row)
+                return attrs.evolve(reply, state=SessionState.IDLE)
+        except ExchangeError as error:
+            kind = RefusalKind.OUTCOME_UNKNOWN
+            raise _write_lost(routed, sent, kind, str(error)) from error
+        finally:
+            if connection is not None:
+                connection.release(state)
+        why = "no answer in time" if sent else "no connection in time"
+        raise _write_lost(routed, sent, RefusalKind.TIMED_OUT, why)
+
+    def _check_leads(self, routed: RoutedStatement, row: EndpointRow) -> None:
+        """Refuse the write if ``row`` stopped leading while its connection was prepared."""
+        if self._state.startable(routed.route.group) is not row:
+            detail = "the primary is being replaced"
+            raise StatementRefusedError(RefusalKind.NO_CAPACITY, come_back(detail))
+
+    async def _read(self, routed: RoutedStatement) -> Reply:
+        tried: set[str] = set()
+        last: Reply | None = None
+        for _ in range(READ_TRIES):
+            row, after = await self._chooser.for_read(routed, routed.arrived_at, tried)
+            tried.add(row.name)
+            reply = await self._read_once(routed, row, after)
+            if reply is None:
+                continue
+            if reply.refusal is None:
+                return reply
+            last = reply
+            self._state.learn_refusal(row, reply.refusal, after)
+            if not reply.refusal.has_not_run:
+                if reply.refusal.kind is not RefusalKind.STATEMENT_FAILED:
+                    return reply
+            elif reply.refusal.kind is RefusalKind.NO_CAPACITY:
+                await trio.sleep(BUSY_PAUSE_S)
+        if last is not None and last.refusal is not None and not last.refusal.has_not_run:
+            return last
+        detail = "no endpoint could run the read"
+        raise StatementRefusedError(RefusalKind.NO_CAPACITY, come_back(detail))
+
+    async def _read_once(
+        self, routed: RoutedStatement, row: EndpointRow, after: LogPosition | None
+    ) -> Reply | None:
+        """Return the endpoint's answer, or None if none came while another may still be asked."""
+        until = min(routed.until, trio.current_time() + READ_PATIENCE * routed.route.timeout_s)
+        connection: PooledConnection | None = None
+        state = SessionState.IDLE
+        try:
+            with trio.move_on_at(until):
+                connection = await self._chooser.connect(routed, row)
+                await connection.take_on(routed.session, routed.needed)
+                asked_at = trio.current_time()
+                reply = await connection.ask(routed.query(connection, after))
+                state = reply.state
+                if reply.refusal is None:
+                    self._state.learn_point(row, reply.position, asked_at)
+                return attrs.evolve(reply, state=SessionState.IDLE)
+        except (ExchangeError, StatementRefusedError) as error:
+            self._state.log_passed_over(row, routed.statement, str(error))
+            return None
+        finally:
+            if connection is not None:
+                connection.release(state)
+        self._state.log_passed_over(row, routed.statement, "no answer in time")
+        return None
+
+
+def _write_lost(
+    routed: RoutedStatement, sent: bool, kind: RefusalKind, why: str
+) -> StatementRefusedError:
+    """Return the refusal of a write without an answer: of ``kind`` if it may have run."""
+    if sent:
+        routed.session.unsettled.add(routed.route.group)
+        return StatementRefusedError(kind, f"{why}; it may have been committed")
+    return StatementRefusedError(RefusalKind.NO_CAPACITY, come_back(why))
--- /dev/null
+++ b/wharftiller/daemons/sessions/transactions.py
@@ -0,0 +1,197 @@
+"""Run transactions: each on one endpoint's connection from its first statement to its end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from wharftiller.core.errors import ExchangeError
+from wharftiller.core.sessions.session import OpenTransaction
+from wharftiller.core.sessions.statements import (
+    Begin,
+    Commit,
+    EndpointQuery,
+    RefusalKind,
+    Reply,
+    SessionState,
+    refused,
+)
+from wharftiller.daemons.sessions.confirmation import confirm_write
+from wharftiller.daemons.sessions.routed import (
+    BUSY_PAUSE_S,
+    BUSY_TRIES,
+    READ_TRIES,
+    StatementRefusedError,
+    come_back,
+    route_statement,
+)
+
+if TYPE_CHECKING:
+    from wharftiller.core.sessions.routes import Route
+    from wharftiller.core.sessions.session import Session
+    from wharftiller.core.sessions.statements import Statement
+    from wharftiller.daemons.sessions.choice import EndpointChooser
+    from wharftiller.daemons.sessions.pool import PooledConnection
+    from wharftiller.daemons.sessions.routed import RoutedStatement
+    from wharftiller.daemons.sessions.state import SharedState
+
+
+class TransactionRunner:
+    """Runs the statements of transactions of every session of this box."""
+
+    def __init__(self, state: SharedState, chooser: EndpointChooser) -> None:
+        self._state = state
+        self._chooser = chooser
+
+    def begin(self, session: Session, route: Route, read_only: bool, arrived_at: float) -> Reply:
+        """Open a transaction; its first statement chooses the endpoint."""
+        session.transaction = OpenTransaction(route, read_only, arrived_at, arrived_at)
+        self._state.transaction_began(route.group)
+        return Reply(SessionState.IN_TRANSACTION)
+
+    def end(self, session: Session) -> None:
+        """Forget the open transaction; what it wrote is rolled back."""
+        transaction, session.transaction = session.transaction, None
+        if transaction is None:
+            return
+        self._state.transaction_ended(transaction.route.group)
+        connection, transaction.connection = transaction.connection, None
+        if connection is not None:
+            self._state.roll_back(connection)
+
+    def fail(self, session: Session) -> None:
+        """Give up the open transaction's connection; the caller is told at its next statement."""
+        transaction = session.transaction
+        assert transaction is not None
+        transaction.failed = True
+        connection, transaction.connection = transaction.connection, None
+        if connection is not None:
+            connection.close()
+
+    async def run(
+        self,
+        session: Session,
+        transaction: OpenTransaction,
+        statement: Statement,
+        arrived_at: float,
+    ) -> Reply:
+        """Return the answer to a statement inside ``transaction``."""
+        try:
+            routed = route_statement(session, transaction.route, statement, arrived_at)
+            if transaction.connection is None:
+                await self._bind(routed, transaction)
+            reply = await self._ask(routed, transaction)
+        except StatementRefusedError as error:
+            reply = refused(error.kind, error.detail, SessionState.FAILED)
+            if isinstance(statement.body, Commit):
+                self.end(session)
+                return attrs.evolve(reply, state=SessionState.IDLE)
+            self.fail(session)
+        transaction.used_at = trio.current_time()
+        return reply
+
+    async def _bind(self, routed: RoutedStatement, transaction: OpenTransaction) -> None:
+        """Open the transaction on an endpoint."""
+        begin = Begin(transaction.read_only)
+        for _ in range(READ_TRIES):
+            if transaction.read_only:
+                row, after = await self._chooser.for_read(routed, transaction.begun_at)
+            else:
+                row, after = await self._chooser.primary(routed), None
+            with trio.move_on_at(routed.until):
+                connection = await self._chooser.connect(routed, row)
+                try:
+                    await connection.take_on(routed.session, None)
+                    asked_at = trio.current_time()
+                    reply = await connection.ask(EndpointQuery(begin, after=after))
+                except ExchangeError:
+                    connection.close()
+                    continue
+                except BaseException:
+                    connection.close()
+                    raise
+                if reply.refusal is None:
+                    self._state.learn_point(row, reply.position, asked_at)
+                    transaction.connection = connection
+                    return
+                connection.release(reply.state)
+                self._state.learn_refusal(row, reply.refusal, after)
+                if reply.refusal.kind is RefusalKind.NOT_PRIMARY:
+                    await trio.sleep(BUSY_PAUSE_S)
+        raise StatementRefusedError(
+            RefusalKind.ROLLED_BACK, come_back("no endpoint began it in time")
+        )
+
+    async def _ask(self, routed: RoutedStatement, transaction: OpenTransaction) -> Reply:
+        """Run a statement on the transaction's own connection."""
+        connection: PooledConnection = transaction.connection
+        commits = isinstance(routed.body, Commit)
+        if commits and transaction.wrote and not self._state.may_acknowledge(connection.pool.row):
+            detail = "the primary it ran on may have been replaced; nothing is kept"
+            raise StatementRefusedError(RefusalKind.ROLLED_BACK, come_back(detail))
+        sent = False
+        try:
+            with trio.move_on_at(routed.until):
+                await connection.take_on(routed.session, routed.needed, may_reset=False)
+                query = routed.query(connection)
+                transaction.wrote |= routed.writes
+                sent = True
+                asked_at = trio.current_time()
+                reply = await self._offer(connection, query, routed.until)
+                return await self._take_reply(routed, transaction, reply, asked_at)
+        except ExchangeError as error:
+            raise _lost(routed.session, transaction, commits and sent, str(error)) from error
+        if commits and sent:
+            raise _lost(routed.session, transaction, True, "no answer in time")
+        raise StatementRefusedError(RefusalKind.ROLLED_BACK, "the endpoint did not answer in time")
+
+    @staticmethod
+    async def _offer(connection: PooledConnection, query: EndpointQuery, until: float) -> Reply:
+        """Ask until the endpoint is not too busy to run the query."""
+        for _ in range(BUSY_TRIES):
+            reply = await connection.ask(query)
+            if reply.refusal is None or reply.refusal.kind is not RefusalKind.NO_CAPACITY:
+                return reply
+            if reply.state is SessionState.FAILED or trio.current_time() > until - BUSY_PAUSE_S:
+                return reply
+            await trio.sleep(BUSY_PAUSE_S)
+        return reply
+
+    async def _take_reply(
+        self, routed: RoutedStatement, transaction: OpenTransaction, reply: Reply, asked_at: float
+    ) -> Reply:
+        """Take in an endpoint's reply; return the caller's."""
+        session = routed.session
+        connection: PooledConnection = transaction.connection
+        row = connection.pool.row
+        if reply.refusal is None:
+            self._state.learn_point(row, reply.position, asked_at)
+        if not isinstance(routed.body, Commit):
+            transaction.failed = reply.state is not SessionState.IN_TRANSACTION
+            return attrs.evolve(reply, state=session.state)
+        if reply.refusal is None and transaction.wrote:
+            session.wrote(transaction.route.group, reply.position)
+            await confirm_write(self._state, session, row)
+        if reply.state is not SessionState.IDLE:
+            self.end(session)
+            if reply.refusal is not None and reply.refusal.has_not_run:
+                detail = f"{row.name} did not run the commit; it was rolled back"
+                return refused(RefusalKind.ROLLED_BACK, come_back(detail), SessionState.IDLE)
+            return attrs.evolve(reply, state=SessionState.IDLE)
+        session.transaction = None
+        self._state.transaction_ended(transaction.route.group)
+        connection.release()
+        return reply
+
+
+def _lost(
+    session: Session, transaction: OpenTransaction, commits: bool, why: str
+) -> StatementRefusedError:
+    """Return the refusal of a statement whose answer was lost."""
+    if commits and transaction.wrote:
+        session.unsettled.add(transaction.route.group)
+        detail = f"{why}; it may have been committed"
+        return StatementRefusedError(RefusalKind.OUTCOME_UNKNOWN, detail)
+    return StatementRefusedError(RefusalKind.ROLLED_BACK, come_back(why))
