Drop leftovers of the endpoints' connections

A waiter was a class around one event, an argument had one value everywhere, a count was never read, and an import went by another name without need. What a connection's fields mean is said where they stand.

--- a/wharftiller/core/sessions/endpoints.py
+++ b/wharftiller/core/sessions/endpoints.py
@@ -108,10 +108,10 @@
             self.position = position
             self.position_at = now
 
-    def given_up(self, connection: int, now: float, *, silent: bool) -> None:
-        """Note that an answer will not come, or not be waited for."""
+    def given_up(self, connection: int, now: float) -> None:
+        """Note that an answer owed did not come, or not in time."""
         sent_at = self.owed.pop(connection, now)
-        if silent and self.heard_at <= sent_at:
+        if self.heard_at <= sent_at:
             self.failed(sent_at)
 
     def failed(self, since: float) -> None:
--- a/wharftiller/daemons/sessions/pool.py
+++ b/wharftiller/daemons/sessions/pool.py
@@ -12,13 +12,13 @@
 from wharftiller.core.errors import EndpointRefusedError, ExchangeError
 from wharftiller.core.sessions.statements import (
     EndpointQuery,
+    Prepare,
     PreparedStatement,
     Reply,
     ResetSession,
     SessionState,
     SetValue,
 )
-from wharftiller.core.sessions.statements import Prepare as PrepareName
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -54,6 +54,12 @@
     ----------
     via : str or None
         Address of the box that it goes through.
+    values : dict of str to str
+        Session values that are set on it.
+    prepared : dict of PreparedStatement to str
+        The names that it knows prepared statements by.
+    broken : bool
+        Whether it must not be used again.
     """
 
     number: int
@@ -82,7 +88,7 @@
         finally:
             if not done:
                 self.broken = True
-                row.given_up(self.number, trio.current_time(), silent=True)
+                row.given_up(self.number, trio.current_time())
         row.answered(self.number, trio.current_time(), reply.position)
         return attrs.evolve(reply, endpoint=row.name)
 
@@ -98,19 +104,20 @@
         """
         extra = self.values.keys() - session.values.keys()
         if may_reset and (extra or len(self.prepared) > PREPARED_KEPT):
-            await self._own(ResetSession())
+            await self._run_own(ResetSession())
             self.values.clear()
             self.prepared.clear()
         for name, value in session.values.items():
             if self.values.get(name) != value:
-                await self._own(SetValue(name, value))
+                await self._run_own(SetValue(name, value))
                 self.values[name] = value
         if needed is not None and needed not in self.prepared:
             name = f"p{len(self.prepared) + 1}"
-            await self._own(PrepareName(name, needed))
+            await self._run_own(Prepare(name, needed))
             self.prepared[needed] = name
 
-    async def _own(self, body: ResetSession | SetValue | PrepareName) -> None:
+    async def _run_own(self, body: ResetSession | SetValue | Prepare) -> None:
+        """Run a statement of this box's own."""
         reply = await self.ask(EndpointQuery(body))
         if reply.refusal is not None:
             self.broken = True
@@ -128,11 +135,6 @@
         self.pool.release(self)
 
 
-@attrs.define(eq=False)
-class _Waiter:
-    woken: trio.Event = attrs.field(factory=trio.Event)
-
-
 @attrs.define(eq=False)
 class EndpointPool:
     """All of this box's connections to one endpoint.
@@ -141,18 +143,19 @@
     ----------
     share : callable
         Returns how many connections this box may keep to it.
+    via : str or None
+        Address of the box through which new connections go.
     """
 
     row: EndpointRow
     _dialer: EndpointDialer
     share: Callable[[], int]
     via: str | None = None
-    opened: int = 0
     _numbers: itertools.count[int] = attrs.field(factory=lambda: itertools.count(1))
     _idle: list[PooledConnection] = attrs.field(factory=list)
     _all: set[PooledConnection] = attrs.field(factory=set)
     _opening: int = 0
-    _waiters: list[tuple[int, int, _Waiter]] = attrs.field(factory=list)
+    _waiters: list[tuple[int, int, trio.Event]] = attrs.field(factory=list)
     _refused_until: float = 0.0
 
     @property
@@ -197,6 +200,7 @@
             connection.link.close()
 
     def _take_idle(self, session: Session) -> PooledConnection:
+        """Take the connection last used with the session's values, else the last used at all."""
         for connection in reversed(self._idle):
             if connection.values == session.values:
                 break
@@ -206,11 +210,12 @@
         return connection
 
     async def _wait(self, priority: int) -> None:
-        waiter = _Waiter()
-        entry = (priority, next(self._numbers), waiter)
+        """Wait for a connection; the lower ``priority`` goes first, then who came first."""
+        woken = trio.Event()
+        entry = (priority, next(self._numbers), woken)
         heapq.heappush(self._waiters, entry)
         try:
-            await waiter.woken.wait()
+            await woken.wait()
         except trio.Cancelled:
             if entry in self._waiters:
                 self._waiters.remove(entry)
@@ -221,7 +226,7 @@
 
     def _wake_next(self) -> None:
         if self._waiters:
-            heapq.heappop(self._waiters)[2].woken.set()
+            heapq.heappop(self._waiters)[2].set()
 
     async def _open(self) -> PooledConnection | None:
         """Open a connection; None if the endpoint has too many and others may come free."""
@@ -245,7 +250,6 @@
             self._opening -= 1
             if not self._all:
                 self._wake_next()
-        self.opened += 1
         self.row.heard(trio.current_time())
         connection = PooledConnection(next(self._numbers), self, link, self.via)
         self._all.add(connection)
