Name what a watch of the platform tells; drop the store's unused parts

The store kept a log, a count of calls and a time that nothing used. A watch returned three values whose last had to be explained; it now returns the changes with their revision, or nothing when the platform has forgotten them. Constants of the adapter say what they are.

--- a/wharftiller/platform/__main__.py
+++ b/wharftiller/platform/__main__.py
@@ -28,9 +28,16 @@
     from wharftiller.edges.transport import Handler, Transport
 
 SETTINGS_VARIABLE = "WHARFTILLER_SETTINGS"
+"""Environment variable that names the settings file."""
+
 DEFAULT_SETTINGS = "/etc/wharftiller/settings.json"
+"""The settings file where the variable names none."""
+
 BAD_SETTINGS = 2
+"""Exit status when the settings cannot be used."""
+
 READY_PATH = "/v1/readiness"
+"""Where the platform's balancer asks whether this process takes new sessions."""
 
 
 class PlatformProcess:
@@ -76,16 +83,16 @@
 
     def _compose(self, nursery: trio.Nursery) -> SessionProxy:
         settings = self._settings
-        store = ObjectStore(self._transport, settings.store, self._log)
+        store = ObjectStore(self._transport, settings.store)
         return SessionProxy(
             BoxIdentity(
-                settings.box,
-                settings.data_centre,
-                settings.boxes,
-                settings.relay,
-                settings.seeds,
-                settings.grace_s,
-                settings.first_start,
+                name=settings.box,
+                data_centre=settings.data_centre,
+                address=settings.boxes,
+                relay=settings.relay,
+                seeds=settings.seeds,
+                grace_s=settings.grace_s,
+                first_start=settings.first_start,
             ),
             self._transport,
             LineDialer(self._transport, settings.box),
--- a/wharftiller/platform/feeds.py
+++ b/wharftiller/platform/feeds.py
@@ -104,18 +104,18 @@
 
     async def _next(self, client: HttpClient, objects: Objects) -> Objects | None:
         """Return the objects after the next change; None if they must be read anew."""
-        changes, revision, lost = await self._store.watch(client, self._kind, self._revision)
-        if lost:
+        told = await self._store.watch(client, self._kind, self._revision)
+        if told is None:
             self._log.change("watch_history_lost", kind=self._kind)
             return None
-        self._revision = revision
-        for gone, changed in changes:
+        self._revision = told.revision
+        for gone, changed in told.changes:
             if gone:
                 objects.pop(changed.name, None)
             else:
                 objects[changed.name] = changed
-        if changes:
-            self._take(dict(objects), revision)
+        if told.changes:
+            self._take(dict(objects), told.revision)
             await trio.sleep(GATHER_S)
         return objects
 
--- a/wharftiller/platform/objects.py
+++ b/wharftiller/platform/objects.py
@@ -28,10 +28,19 @@
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
+"""The operator's configuration is one object."""
+
 ENDPOINT_KIND = "servers"
+"""Kind of the objects by which endpoints register themselves."""
+
 OWN_KIND = "wharftiller"
+"""Kind of everything that boxes keep."""
+
 RECORD_NAME = "leadership"
+"""Name of the record of leadership."""
+
 BOX_PREFIX = "box."
+"""Goes before a box's name in the name of its entry."""
 
 DEFAULT_TIMEOUT_MS = 2_000
 """A statement's time-out where a route names none, in milliseconds: the longest seen."""
@@ -55,10 +64,7 @@
         If it lacks something.
     """
     routes = [_route(each) for each in document["Routes"]]
-    groups = [
-        GroupLimits(str(s["Name"]), int(s.get("MaxConns") or 1), int(s.get("SyncReplicas") or 0))
-        for s in document["Services"]
-    ]
+    groups = [_group(each) for each in document["Services"]]
     idle_ms = (document.get("Limits") or {}).get("TxIdleMs") or DEFAULT_TX_IDLE_MS
     return SessionConfiguration(
         int(document["Version"]),
@@ -69,6 +75,14 @@
     )
 
 
+def _group(value: Any) -> GroupLimits:
+    return GroupLimits(
+        name=str(value["Name"]),
+        max_connections=int(value.get("MaxConns") or 1),
+        sync_replicas=int(value.get("SyncReplicas") or 0),
+    )
+
+
 def _route(value: Any) -> Route:
     return Route(
         name=str(value["Name"]),
--- a/wharftiller/platform/store.py
+++ b/wharftiller/platform/store.py
@@ -11,7 +11,6 @@
 from wharftiller.edges.http_client import HttpClient
 
 if TYPE_CHECKING:
-    from wharftiller.decisions import DecisionLog
     from wharftiller.edges.transport import Transport
 
 CALL_TIMEOUT_S = 0.8
@@ -23,9 +22,6 @@
 WATCH_SLACK_S = 3.0
 """Time that a watch's answer may take beyond its wait, in seconds."""
 
-GATHER_S = 0.15
-"""Time to gather further changes before a watch is asked for again, in seconds."""
-
 
 @attrs.frozen
 class StoredObject:
@@ -42,6 +38,22 @@
     spec: Any
 
 
+@attrs.frozen
+class WatchedChanges:
+    """What a watch told.
+
+    Attributes
+    ----------
+    changes : list of (bool, StoredObject)
+        Whether the object is gone, and how it stood last.
+    revision : int
+        The platform's counter after them.
+    """
+
+    changes: list[tuple[bool, StoredObject]]
+    revision: int
+
+
 class ObjectStore:
     """Calls to the platform's objects.
 
@@ -49,12 +61,10 @@
     change may still take effect then.
     """
 
-    def __init__(self, transport: Transport, address: str, log: DecisionLog) -> None:
+    def __init__(self, transport: Transport, address: str) -> None:
         self._transport = transport
         self._address = address
         self._client = HttpClient(transport, address)
-        self._log = log
-        self.calls = 0
 
     async def _call(self, method: str, path: str, body: Any = None) -> tuple[int, Any]:
         return await self._call_on(self._client, method, path, body, CALL_TIMEOUT_S)
@@ -62,7 +72,6 @@
     async def _call_on(
         self, client: HttpClient, method: str, path: str, body: Any, timeout_s: float
     ) -> tuple[int, Any]:
-        self.calls += 1
         try:
             answer = await client.request(method, path, body, timeout_s=timeout_s)
             value = answer.json() if answer.body else None
@@ -98,16 +107,13 @@
             replaces whatever stands there.
         """
         meta: dict[str, Any] = {"Name": name, "Finalizers": []}
+        if revision:
+            meta["Revision"] = revision
+        body = {"meta": meta, "spec": spec, "status": None}
         if revision == 0:
-            status, value = await self._call(
-                "POST", f"/v1/objects/{kind}", {"meta": meta, "spec": spec, "status": None}
-            )
+            status, value = await self._call("POST", f"/v1/objects/{kind}", body)
         else:
-            if revision is not None:
-                meta["Revision"] = revision
-            status, value = await self._call(
-                "PUT", f"/v1/objects/{kind}/{name}", {"meta": meta, "spec": spec, "status": None}
-            )
+            status, value = await self._call("PUT", f"/v1/objects/{kind}/{name}", body)
         if status in (200, 201, 409) and value is not None:
             return parse_object(value)
         raise PlatformUnavailableError(f"writing {kind}/{name} was answered {status}")
@@ -116,15 +122,13 @@
         """Remove an object; it is no error if it is gone already."""
         await self._call("DELETE", f"/v1/objects/{kind}/{name}")
 
-    async def watch(
-        self, client: HttpClient, kind: str, revision: int
-    ) -> tuple[list[tuple[bool, StoredObject]], int, bool]:
-        """Wait for changes; the last value tells whether the history is gone."""
+    async def watch(self, client: HttpClient, kind: str, revision: int) -> WatchedChanges | None:
+        """Wait for changes after ``revision``; None if the platform has forgotten some."""
         path = f"/v1/objects/{kind}?Watch={revision}&WaitMs={WATCH_WAIT_MS}"
         timeout_s = WATCH_WAIT_MS / 1000 + WATCH_SLACK_S
         status, value = await self._call_on(client, "GET", path, None, timeout_s)
         if status == 410:
-            return [], revision, True
+            return None
         if status != 200 or not isinstance(value, dict):
             raise PlatformUnavailableError(f"watching {kind} was answered {status}")
         try:
@@ -132,12 +136,13 @@
                 (bool(event.get("Tombstone")), parse_object(event["Object"]))
                 for event in value.get("events") or ()
             ]
-            return changes, int(value["CurrentRev"]), False
+            return WatchedChanges(changes, int(value["CurrentRev"]))
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise PlatformUnavailableError(f"a change of {kind} is unusable: {error!r}") from None
 
 
 def _parse_page(status: int, value: Any) -> tuple[list[StoredObject], int, bool]:
+    """Return a page's objects, the revision they stand at and whether more pages follow."""
     if status == 404:
         return [], 0, False
     try:
--- a/wharftiller/platform/wire.py
+++ b/wharftiller/platform/wire.py
@@ -38,6 +38,7 @@
 """The protocol's limit for one message."""
 
 READ_BYTES = 16_384
+"""Bytes taken from a stream at once."""
 
 OWN_ID = "-"
 """Stands for the id in statements of this box's own, and for a proof or position that is absent."""
@@ -57,14 +58,20 @@
     "MALFORMED": RefusalKind.MALFORMED,
     "OVERSIZE": RefusalKind.TOO_LARGE,
 }
+"""The protocol's codes of errors; a code that is not among them is `RefusalKind.OTHER`."""
+
 CODES = {kind: code for code, kind in REFUSALS.items()} | {RefusalKind.OTHER: "FAILED"}
+"""The code that tells a caller of each refusal."""
 
 STATES = {
     "I": SessionState.IDLE,
     "T": SessionState.IN_TRANSACTION,
     "E": SessionState.FAILED,
 }
+"""The protocol's words for where a session stands."""
+
 STATE_WORDS = {state: word for word, state in STATES.items()}
+
 ACCESS_WORDS = {"READ": Access.READ, "WRITE": Access.WRITE}
 
 
