Keep notes of answers apart from the shared state; drop the stand-ins' leftovers

What is logged and counted of a statement reads the shared state and changes nothing in it, so it is no part of it; the shared state says what its fields are. The stand-ins lose two lists that nothing filled and a value that nothing took. Candidates compare by their positions, which have an order of their own.

--- a/standins/line_endpoints.py
+++ b/standins/line_endpoints.py
@@ -37,6 +37,12 @@
         What it has received.
     deaf : bool
         Whether it receives nothing.
+    opened : int
+        Connections taken since it started.
+    busy_answers, lose_answers : int
+        So many statements are refused for want of a slot, or run and not answered.
+    started : list of str
+        Ids of the statements that took a slot.
     """
 
     name: str
@@ -78,7 +84,15 @@
 
 @attrs.define(eq=False)
 class LineGroup:
-    """A group of servers and its replication."""
+    """A group of servers and its replication.
+
+    Attributes
+    ----------
+    lag_s, work_s, promote_s : float
+        Time until replicas hold a write, for a statement and for a promotion, in seconds.
+    promotions : list of (str, str, int)
+        Every order of a promotion: server, holder and fence.
+    """
 
     name: str
     max_connections: int = 20
@@ -86,8 +100,6 @@
     work_s: float = 0.01
     promote_s: float = 0.3
     servers: list[LineServer] = attrs.field(factory=list)
-    acknowledged: list[Record] = attrs.field(factory=list)
-    stale_reads: list[str] = attrs.field(factory=list)
     promotions: list[tuple[str, str, int]] = attrs.field(factory=list)
     nursery: trio.Nursery | None = None
 
@@ -98,16 +110,15 @@
 
     def commit(
         self, server: LineServer, writes: tuple[tuple[str, str], ...], request_id: str
-    ) -> Record:
+    ) -> None:
         """Append a transaction to a server's log and send it to the others."""
         number = (server.log[-1].number if server.log else 0) + 1
-        record = Record(server.term, number, writes, request_id)
-        server.log.append(record)
+        server.log.append(Record(server.term, number, writes, request_id))
         assert self.nursery is not None
-        self.nursery.start_soon(self._replicate, server, record)
-        return record
+        self.nursery.start_soon(self._replicate, server)
 
-    async def _replicate(self, source: LineServer, record: Record) -> None:
+    async def _replicate(self, source: LineServer) -> None:
+        """Bring the other servers to the source's log, after the lag."""
         await trio.sleep(self.lag_s)
         for server in self.servers:
             if server is source or server.leads or server.deaf or source.down or server.down:
@@ -136,7 +147,7 @@
 
 @attrs.define
 class _Open:
-    """What is set on one connection to a server."""
+    """What is set on one connection to a server; ``state`` is the letter in its lines."""
 
     values: dict[str, str] = attrs.field(factory=dict)
     prepared: dict[str, tuple[str, str]] = attrs.field(factory=dict)
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -26,6 +26,8 @@
 
 @attrs.define
 class _Change:
+    """One change of an object, as watches tell it."""
+
     revision: int
     gone: bool
     kind: str
--- a/wharftiller/core/leadership/moves.py
+++ b/wharftiller/core/leadership/moves.py
@@ -77,11 +77,7 @@
 
 def best_candidate(candidates: Iterable[Candidate]) -> Candidate | None:
     """Return the candidate that has received most; ties go by name."""
-    return max(candidates, key=lambda each: (_key(each.received), each.name), default=None)
-
-
-def _key(position: LogPosition) -> tuple[int, int]:
-    return position.term, position.index
+    return max(candidates, key=lambda each: (each.received, each.name), default=None)
 
 
 def must_leave(row: EndpointRow, turn: int, now: float) -> bool:
--- /dev/null
+++ b/wharftiller/daemons/sessions/notes.py
@@ -0,0 +1,67 @@
+"""Log and count what became of statements, with what this box believed meanwhile."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import trio
+
+from wharftiller.core.sessions.figures import AnswerLabels
+
+if TYPE_CHECKING:
+    from wharftiller.core.sessions.endpoints import EndpointRow
+    from wharftiller.core.sessions.routes import Route
+    from wharftiller.core.sessions.session import Session
+    from wharftiller.core.sessions.statements import Reply, Statement
+    from wharftiller.daemons.sessions.state import SharedState
+
+
+def note_answer(
+    state: SharedState, session: Session, statement: Statement, reply: Reply, arrived_at: float
+) -> None:
+    """Log and count how a statement ended."""
+    took_s = trio.current_time() - arrived_at
+    route = state.configuration.routes.get(session.database)
+    outcome = "done" if reply.refusal is None else reply.refusal.kind.value
+    labels = AnswerLabels(
+        "" if route is None else route.name,
+        "" if route is None else type(route.consistency).__name__,
+        type(statement.body).__name__,
+        outcome,
+    )
+    state.figures.answered(labels, took_s)
+    state.log.answered(session, statement, reply, took_s, lambda: _believed(state, route))
+
+
+def _believed(state: SharedState, route: Route | None) -> dict[str, Any]:
+    """Return what decides a statement's outcome on ``route``, with ages and versions."""
+    if route is None:
+        return {"version": state.version}
+    now = trio.current_time()
+    lead = state.lead(route.group)
+    lease = state.leases.last_lease(route.group)
+    newest = state.points(route.group).newest
+    row = state.rows.get(lead or "")
+    silent_since = row.unreachable_since if row is not None else None
+    return {
+        "version": state.version,
+        "group": route.group,
+        "record": state.leases.record.revision,
+        "lead": lead,
+        "moving": route.group in state.leases.record.moving,
+        "lease_age_ms": None if lease is None else _ms(now - lease.checked_at),
+        "lead_silent_ms": None if silent_since is None else _ms(now - silent_since),
+        "point_age_ms": None if newest is None else _ms(now - newest.at),
+    }
+
+
+def note_passed_over(state: SharedState, row: EndpointRow, statement: Statement, why: str) -> None:
+    """Log and count that an endpoint was asked and did not serve."""
+    state.figures.statements[row.name, "passed_over"] += 1
+    state.log.event(
+        "endpoint_passed_over", request=statement.request_id, endpoint=row.name, why=why
+    )
+
+
+def _ms(seconds: float) -> int:
+    return round(seconds * 1000)
--- a/wharftiller/daemons/sessions/singles.py
+++ b/wharftiller/daemons/sessions/singles.py
@@ -10,6 +10,7 @@
 from wharftiller.core.errors import ExchangeError
 from wharftiller.core.sessions.statements import RefusalKind, Reply, SessionState, refused
 from wharftiller.daemons.sessions.confirmation import confirm_write
+from wharftiller.daemons.sessions.notes import note_passed_over
 from wharftiller.daemons.sessions.routed import (
     BUSY_PAUSE_S,
     BUSY_TRIES,
@@ -153,12 +154,12 @@
                     self._state.learn_point(row, reply.position, asked_at)
                 return attrs.evolve(reply, state=SessionState.IDLE)
         except (ExchangeError, StatementRefusedError) as error:
-            self._state.log_passed_over(row, routed.statement, str(error))
+            note_passed_over(self._state, row, routed.statement, str(error))
             return None
         finally:
             if connection is not None:
                 connection.release(state)
-        self._state.log_passed_over(row, routed.statement, "no answer in time")
+        note_passed_over(self._state, row, routed.statement, "no answer in time")
         return None
 
 
--- a/wharftiller/daemons/sessions/state.py
+++ b/wharftiller/daemons/sessions/state.py
@@ -4,7 +4,7 @@
 
 import collections
 import math
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
 import attrs
 import trio
@@ -14,7 +14,7 @@
 from wharftiller.core.leadership.record import Leading, Moving
 from wharftiller.core.positions import LogPosition
 from wharftiller.core.sessions.endpoints import EndpointRow
-from wharftiller.core.sessions.figures import AnswerLabels, Figures
+from wharftiller.core.sessions.figures import Figures
 from wharftiller.core.sessions.routes import EndpointEntry, SessionConfiguration
 from wharftiller.core.sessions.shares import connection_share
 from wharftiller.core.sessions.statements import EndpointQuery, RefusalKind, Rollback
@@ -23,9 +23,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from wharftiller.core.sessions.routes import Route
-    from wharftiller.core.sessions.session import Session
-    from wharftiller.core.sessions.statements import Refusal, Reply, Statement
+    from wharftiller.core.sessions.statements import Refusal
     from wharftiller.daemons.sessions.pool import PooledConnection
     from wharftiller.daemons.sessions.seams import EndpointDialer
     from wharftiller.decisions import DecisionLog
@@ -39,7 +37,6 @@
 Detection (1.2 s), every box's word and the promotion itself (0.3 to 0.6 s).
 """
 
-
 RECORD_EXPECTED_S = 1.0
 """How long after a change was recorded, or a lease ran out, the next is expected, in seconds."""
 
@@ -59,6 +56,17 @@
     ----------
     box, data_centre : str
         This box's name and where it stands.
+    nursery : trio.Nursery
+        Where work goes on that no statement waits for.
+
+    Attributes
+    ----------
+    endpoints_revision : int
+        The platform's revision of the list of endpoints in force.
+    rows, pools : dict
+        Every endpoint ever listed, and the connections to it, by name.
+    check_soon : trio.Event
+        Set to have the leases checked without waiting for the next time.
     """
 
     def __init__(
@@ -74,6 +82,8 @@
         self._points: dict[str, tuple[str, FreshPoints]] = {}
         self._activity: dict[str, _GroupActivity] = collections.defaultdict(_GroupActivity)
         self._changed = trio.Event()
+        self._record_seen = 0
+        self._record_at = -math.inf
         self.box = box
         self.data_centre = data_centre
         self.log = log
@@ -83,8 +93,6 @@
         self.rows: dict[str, EndpointRow] = {}
         self.pools: dict[str, EndpointPool] = {}
         self.check_soon = trio.Event()
-        self._record_seen = 0
-        self.record_at = -math.inf
         self.figures = Figures()
         log.counts = self.figures.events
 
@@ -217,7 +225,7 @@
                 return True
             case Moving():
                 # Decided within moments, or else a silent box's lease is waited for.
-                return now - self.record_at < RECORD_EXPECTED_S
+                return now - self._record_at < RECORD_EXPECTED_S
             case Leading(endpoint):
                 row = self.rows.get(endpoint)
                 if row is not None and row.unreachable_since is not None:
@@ -243,7 +251,7 @@
         """Wake everyone who waits for a change."""
         if self._record_seen != self.leases.record.revision:
             self._record_seen = self.leases.record.revision
-            self.record_at = trio.current_time()
+            self._record_at = trio.current_time()
         self._changed.set()
         self._changed = trio.Event()
 
@@ -333,51 +341,3 @@
                 connection.release(reply.state)
                 return
         connection.close()
-
-    # Notes --------------------------------------------------------------
-
-    def note(self, session: Session, statement: Statement, reply: Reply, arrived_at: float) -> None:
-        """Log and count how a statement ended."""
-        took_s = trio.current_time() - arrived_at
-        route = self.configuration.routes.get(session.database)
-        outcome = "done" if reply.refusal is None else reply.refusal.kind.value
-        labels = AnswerLabels(
-            "" if route is None else route.name,
-            "" if route is None else type(route.consistency).__name__,
-            type(statement.body).__name__,
-            outcome,
-        )
-        self.figures.answered(labels, took_s)
-        self.log.answered(session, statement, reply, took_s, lambda: self.believed(route))
-
-    def believed(self, route: Route | None) -> dict[str, Any]:
-        """Return what decides a statement's outcome on ``route``, with ages and versions."""
-        if route is None:
-            return {"version": self.version}
-        now = trio.current_time()
-        lead = self.lead(route.group)
-        lease = self.leases.last_lease(route.group)
-        newest = self.points(route.group).newest
-        row = self.rows.get(lead or "")
-        silent_since = row.unreachable_since if row is not None else None
-        return {
-            "version": self.version,
-            "group": route.group,
-            "record": self.leases.record.revision,
-            "lead": lead,
-            "moving": route.group in self.leases.record.moving,
-            "lease_age_ms": None if lease is None else _ms(now - lease.checked_at),
-            "lead_silent_ms": None if silent_since is None else _ms(now - silent_since),
-            "point_age_ms": None if newest is None else _ms(now - newest.at),
-        }
-
-    def log_passed_over(self, row: EndpointRow, statement: Statement, why: str) -> None:
-        """Log that an endpoint was asked and did not serve."""
-        self.figures.statements[row.name, "passed_over"] += 1
-        self.log.event(
-            "endpoint_passed_over", request=statement.request_id, endpoint=row.name, why=why
-        )
-
-
-def _ms(seconds: float) -> int:
-    return round(seconds * 1000)
--- a/wharftiller/daemons/sessions/statements.py
+++ b/wharftiller/daemons/sessions/statements.py
@@ -17,6 +17,7 @@
     refused,
 )
 from wharftiller.daemons.sessions.choice import EndpointChooser
+from wharftiller.daemons.sessions.notes import note_answer
 from wharftiller.daemons.sessions.singles import SingleRunner
 from wharftiller.daemons.sessions.transactions import TransactionRunner
 
@@ -39,7 +40,7 @@
     async def run(self, session: Session, statement: Statement, arrived_at: float) -> Reply:
         """Return the one answer to ``statement``; always an answer, whatever fails."""
         reply = await self._run(session, statement, arrived_at)
-        self._state.note(session, statement, reply, arrived_at)
+        note_answer(self._state, session, statement, reply, arrived_at)
         return reply
 
     async def _run(self, session: Session, statement: Statement, arrived_at: float) -> Reply:
--- a/wharftiller/decisions.py
+++ b/wharftiller/decisions.py
@@ -53,6 +53,11 @@
     ----------
     write : callable
         Writes bytes and returns how many it took; raises `BlockingIOError` if none.
+
+    Attributes
+    ----------
+    counts : collections.Counter
+        Events by name, those left out of the log included.
     """
 
     def __init__(self, part: str, box: str, write: Callable[[bytes], int] | None = None) -> None:
