--- a/wharftiller/daemons/sessions/boxes.py
+++ b/wharftiller/daemons/sessions/boxes.py
@@ -13,18 +13,14 @@
 import attrs
 import trio
 
-from wharftiller.core.errors import BadRequestError, ExchangeError, UnknownPathError
+from wharftiller.core.errors import BadRequestError, ExchangeError
 from wharftiller.core.leadership.lease import RoundAnswer
 from wharftiller.core.rendezvous import ranked
 from wharftiller.edges.http_client import HttpClient
-from wharftiller.edges.http_server import HttpRequest, HttpResponse
 from wharftiller.edges.leadership_json import record_from_json, record_to_json
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
-
     from wharftiller.core.leadership.record import LeadershipRecord
-    from wharftiller.daemons.sessions.readers import ReaderDesk
     from wharftiller.daemons.sessions.state import SharedState
     from wharftiller.edges.transport import Transport
 
@@ -40,12 +36,6 @@
 WORD_TIMEOUT_S = 1.5
 """Time a box has to give its word, in seconds; it may first let its writes end."""
 
-QUIET_WAIT_S = 1.0
-"""Time for which writes under way may end before a planned change, in seconds."""
-
-NEVER_READ_S = 3600.0
-"""Age told of a read that never was, in seconds."""
-
 HEARD_RECENT_S = 1.0
 """A primary that answered within this time counts as heard, in seconds."""
 
@@ -305,122 +295,3 @@
             self._state.log.event("box_did_not_answer", other=address, why=str(error))
             return None
         return value if isinstance(value, dict) else None
-
-
-class BoxServer:
-    """Answers other boxes' questions.
-
-    Parameters
-    ----------
-    known : callable
-        Returns what a starting box may learn from this one, as JSON.
-    """
-
-    def __init__(
-        self,
-        state: SharedState,
-        directory: BoxDirectory,
-        desk: ReaderDesk,
-        known: Callable[[], dict[str, Any]],
-        check: Callable[[list[str]], Awaitable[None]],
-    ) -> None:
-        self._state = state
-        self._directory = directory
-        self._desk = desk
-        self._known = known
-        self._check = check
-
-    async def handle(self, request: HttpRequest) -> HttpResponse:
-        """Answer one question."""
-        match (request.method, request.path):
-            case ("POST", "/peer/round"):
-                return HttpResponse(200, await self._round(request.json()))
-            case ("POST", "/peer/read"):
-                return HttpResponse(200, self._desk.answer(request.json()))
-            case ("POST", "/peer/stop"):
-                return HttpResponse(200, await self._stop(request.json()))
-            case ("POST", "/peer/record"):
-                self._adopt(request.json())
-                return HttpResponse(200, {})
-            case ("POST", "/peer/news"):
-                self._state.check_soon.set()
-                return HttpResponse(200, {})
-            case ("GET", "/peer/known"):
-                return HttpResponse(200, self._known())
-            case (method, path):
-                raise UnknownPathError(f"no {method} {path}; boxes ask under /peer/")
-
-    async def _round(self, question: Any) -> dict[str, Any]:
-        if not isinstance(question, dict) or not isinstance(question.get("revision"), int):
-            raise BadRequestError("a round's question names its revision; run one version")
-        state = self._state
-        check = question.get("check") or ()
-        if isinstance(check, list) and check:
-            await self._check([str(each) for each in check])
-        record = state.leases.record
-        newer = record.revision > question["revision"]
-        return {
-            "incarnation": self._directory.incarnation,
-            "platform": self._directory.platform_answers,
-            "read_age_ms": self._read_age_ms(),
-            "read": state.leases.read_from_platform,
-            "revision": record.revision,
-            "record": record_to_json(record) if newer else None,
-            "version": state.version,
-            "endpoints_revision": state.endpoints_revision,
-            "points": state.told_points(),
-            "hears": self._heard(),
-        }
-
-    def _read_age_ms(self) -> int:
-        age_s = min(trio.current_time() - self._directory.platform_read_at, NEVER_READ_S)
-        return int(age_s * 1000) + 1
-
-    def _heard(self) -> list[str]:
-        """Return the endpoints that answered lately, and not through another box."""
-        now = trio.current_time()
-        return [
-            row.name
-            for row in self._state.rows.values()
-            if row.unreachable_since is None
-            and now - row.heard_at < HEARD_RECENT_S
-            and self._state.way_to(row) is None
-        ]
-
-    def _adopt(self, value: Any) -> None:
-        try:
-            record = record_from_json(value["record"], value["revision"])
-        except (KeyError, TypeError) as error:
-            raise BadRequestError(f"no record was told: {error!r}; run one version") from None
-        if self._state.leases.adopt(record):
-            self._state.log.change("record_adopted", revision=record.revision, source="box")
-            self._state.check_soon.set()
-            self._state.wake()
-
-    async def _stop(self, value: Any) -> dict[str, Any]:
-        """Stop using the primaries being replaced."""
-        self._adopt(value)
-        record = self._state.leases.record
-        if record.revision < value["revision"] or not record.moving:
-            return {"stopped": False}
-        await self.stop_using(record)
-        listed_s = self._directory.listed_s(trio.current_time())
-        return {"stopped": True, "listed_ms": int(listed_s * 1000)}
-
-    async def stop_using(self, record: LeadershipRecord) -> None:
-        """Stop using the primaries being replaced, where planned once writes have ended."""
-        leases = self._state.leases
-        for group, moving in record.moving.items():
-            leases.close(group, moving.old.endpoint)
-        for group, moving in record.moving.items():
-            if moving.planned:
-                await self._quiet(group)
-            self._state.leases.give_word(group, moving.old.endpoint)
-        self._state.log.change("word_given", groups=sorted(record.moving))
-        self._state.wake()
-
-    async def _quiet(self, group: str) -> None:
-        """Wait until this box's writes in ``group`` have ended, for some time at most."""
-        with trio.move_on_after(QUIET_WAIT_S):
-            while not self._state.is_quiet(group):
-                await self._state.leadership_changed()
--- a/wharftiller/daemons/sessions/mover.py
+++ b/wharftiller/daemons/sessions/mover.py
@@ -2,35 +2,35 @@
 
 from __future__ import annotations
 
-import itertools
 import math
 from typing import TYPE_CHECKING
 
 import attrs
 import trio
 
-from wharftiller.core.errors import EndpointRefusedError, ExchangeError, PlatformUnavailableError
-from wharftiller.core.leadership.lease import LEASE_S, LISTING_S
+from wharftiller.core.errors import PlatformUnavailableError
 from wharftiller.core.leadership.moves import (
     SEND_WINDOW_S,
     TAKE_OVER_ORDERED_S,
     TAKE_OVER_S,
     TAKE_OVER_SILENT_S,
-    Candidate,
     best_candidate,
     is_lost,
     must_leave,
     turn_of,
 )
 from wharftiller.core.leadership.record import Leading, Moving
+from wharftiller.daemons.sessions.record_writer import RecordWriter
+from wharftiller.daemons.sessions.stopping import BoxStopper
+from wharftiller.daemons.sessions.successors import Successors
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from wharftiller.core.leadership.record import LeadershipRecord
     from wharftiller.core.sessions.endpoints import EndpointRow
-    from wharftiller.core.sessions.statements import EndpointStatus
-    from wharftiller.daemons.sessions.boxes import Box, BoxDirectory, BoxServer
+    from wharftiller.daemons.sessions.box_server import BoxServer
+    from wharftiller.daemons.sessions.boxes import BoxDirectory
     from wharftiller.daemons.sessions.probes import Prober
     from wharftiller.daemons.sessions.seams import Promotions, SharedListing, SharedObjects
     from wharftiller.daemons.sessions.state import SharedState
@@ -48,26 +48,11 @@
 """Boxes that start a change one after the other; all further ones start together."""
 
 ASK_AGAIN_S = 0.2
-"""Time between questions to boxes and endpoints that did not answer as hoped, in seconds."""
-
-STOP_BEFORE_S = 0.4
-"""How long before silent boxes' leases end the others are asked to stop, in seconds.
-
-Time for a few statements to end; an open transaction may take `QUIET_WAIT_S`.
-"""
+"""Time before a promotion or an update that failed is asked for again, in seconds."""
 
 ASKED_LOST_S = 1.5
 """Time for which a lost primary's silence to a question stands, in seconds."""
 
-CATCH_UP_S = 1.5
-"""Time a successor may take to receive a living primary's last writes, in seconds."""
-
-LEADS_WITHIN_S = 3.0
-"""Time within which a promoted endpoint should say that it leads, in seconds."""
-
-LEADS_LOOK_S = 0.06
-"""Time between looks at whether it does, in seconds."""
-
 RECORD_TRIES = 5
 """Times a finished change is offered to the platform before the next look does it again."""
 
@@ -105,15 +90,11 @@
     ) -> None:
         self._state = state
         self._directory = directory
-        self._server = server
-        self._store = store
         self._promotions = promotions
         self._prober = prober
-        self._incarnation = incarnation
-        self._take_listing = take_listing
-        self._attempts: dict[str, float] = {}
-        self._numbers = itertools.count(1)
-        self._won_at: dict[int, tuple[float, float]] = {}
+        self._writer = RecordWriter(state, store, incarnation)
+        self._successors = Successors(state, prober)
+        self._stopper = BoxStopper(state, directory, server, store, take_listing)
         self._seen: _Seen | None = None
         self._asked_lost_at = -math.inf
         self._started_at = trio.current_time()
@@ -133,12 +114,12 @@
     async def _look(self) -> None:
         await self._first_record()
         record = self._state.leases.record
-        if record.moving and record.holder == self._incarnation:
+        if record.moving and record.holder == self._writer.incarnation:
             await self._drive(record)
         elif record.moving:
             if await self._may_take_over(record):
                 self._state.log.change("change_taken_over", groups=sorted(record.moving))
-                await self._write(self._as_holder(record))
+                await self._writer.write(self._writer.as_holder(record))
         else:
             await self._start(record)
 
@@ -159,34 +140,11 @@
         waited_s = trio.current_time() - self._started_at
         if waited_s < turn * FIRST_TURN_S or (len(groups) < len(missing) and waited_s < 2.0):
             return
-        await self._write(attrs.evolve(record, groups={**record.groups, **groups}))
+        await self._writer.write(attrs.evolve(record, groups={**record.groups, **groups}))
 
     def _told_leaders(self, group: str) -> list[str]:
         return [row.name for row in self._state.rows_of(group) if row.entry.leads]
 
-    # Writing the record -------------------------------------------------
-
-    async def _write(self, record: LeadershipRecord) -> bool:
-        """Replace the record; return whether this box's own update stands there."""
-        attempt = f"{self._incarnation}.{next(self._numbers)}"
-        asked_at = self._attempts[attempt] = trio.current_time()
-        stands = await self._store.replace_record(attrs.evolve(record, attempt=attempt))
-        won = stands.attempt in self._attempts
-        if won:
-            self._won_at.setdefault(stands.fence, (asked_at, trio.current_time()))
-        self._state.leases.adopt(stands)
-        self._state.log.change(
-            "record_written" if won else "record_lost",
-            revision=stands.revision,
-            fence=stands.fence,
-            holder=stands.holder,
-        )
-        self._state.wake()
-        return won
-
-    def _as_holder(self, record: LeadershipRecord) -> LeadershipRecord:
-        return attrs.evolve(record, fence=record.fence + 1, holder=self._incarnation)
-
     # Starting a change --------------------------------------------------
 
     async def _start(self, record: LeadershipRecord) -> None:
@@ -195,14 +153,14 @@
         The update is conditional on ``record``'s revision: whatever another box
         writes while this one asks around makes it fail.
         """
-        changed = self._as_holder(record)
+        changed = self._writer.as_holder(record)
         for group, leading in record.groups.items():
             if isinstance(leading, Leading):
                 moving = await self._change_needed(group, leading)
                 if moving is not None:
                     changed = changed.with_group(group, moving)
         if changed.moving:
-            await self._write(changed)
+            await self._writer.write(changed)
 
     async def _change_needed(self, group: str, leading: Leading) -> Moving | None:
         """Return the change that ``group`` needs, if it is this box's turn to start one."""
@@ -218,7 +176,7 @@
         if not planned and not is_lost(row, turn, now, all_answer=all_answer):
             return None
         self._asked_lost_at = now
-        best = best_candidate(await self._candidates(group, leading.endpoint))
+        best = best_candidate(await self._successors.candidates(group, leading.endpoint))
         if best is None:
             self._state.log.event("no_successor", group=group, old=leading.endpoint)
             return None
@@ -245,28 +203,6 @@
             self._state.log.event("primary_heard_elsewhere", endpoint=endpoint, others=hearing)
         return bool(hearing)
 
-    async def _candidates(self, group: str, old: str) -> list[Candidate]:
-        """Ask the group's replicas for what they have received."""
-        found: list[Candidate] = []
-
-        async def ask(row: EndpointRow) -> None:
-            status = await self._status(row)
-            if status is not None:
-                found.append(Candidate(row.name, status.received, row.entry.data_centre))
-
-        async with trio.open_nursery() as nursery:
-            for row in self._state.rows_of(group):
-                if row.name != old and row.leaving_since is None:
-                    nursery.start_soon(ask, row)
-        return found
-
-    async def _status(self, row: EndpointRow) -> EndpointStatus | None:
-        try:
-            return await self._prober.status(row)
-        except (ExchangeError, EndpointRefusedError) as error:
-            self._state.log.event("no_status", endpoint=row.name, why=str(error))
-            return None
-
     # Carrying a change on -----------------------------------------------
 
     async def _drive(self, record: LeadershipRecord) -> None:
@@ -275,29 +211,29 @@
             if not await self._stop_and_mark(record):
                 return
             record = self._state.leases.record
-        asked_at = self._attempts.get(record.attempt, -math.inf)
+        asked_at = self._writer.asked_at(record)
         if trio.current_time() - asked_at > SEND_WINDOW_S:
-            await self._write(self._as_holder(record))
+            await self._writer.write(self._writer.as_holder(record))
             return
         not_running = await self._promote_all(record)
         for group in not_running:
-            best = await self._best_successor(group, record.moving[group])
+            best = await self._successors.best(group, record.moving[group])
             moving = attrs.evolve(record.moving[group], successor=best)
             record = record.with_group(group, moving)
         if not_running:
-            await self._write(record)
+            await self._writer.write(record)
 
     async def _stop_and_mark(self, record: LeadershipRecord) -> bool:
         """Have every box stop, then mark the changes as ordered; return whether they are."""
-        _, won_at = self._won(record)
+        _, won_at = self._writer.won(record)
         if await self._called_off(record, await self._lost_that_answer(record)):
             return False
-        answering = await self._everyone_stopped(record, won_at)
+        answering = await self._stopper.everyone_stopped(record, won_at)
         if not answering:
             answering = await self._lost_that_answer(record)
         if await self._called_off(record, answering):
             return False
-        return await self._write(await self._ready_to_order(record))
+        return await self._writer.write(await self._ready_to_order(record))
 
     async def _called_off(self, record: LeadershipRecord, answering: list[str]) -> bool:
         """Let the primaries of the groups ``answering`` go on leading, if there are any."""
@@ -305,61 +241,10 @@
             return False
         for group in answering:
             record = record.with_group(group, record.moving[group].old)
-        await self._write(record)
+        await self._writer.write(record)
         await self._directory.tell_record(self._state.leases.record)
         return True
 
-    def _won(self, record: LeadershipRecord) -> tuple[float, float]:
-        """Return when the record was asked for and when this box learned that it won it."""
-        known = self._won_at.get(record.fence)
-        if known is None:
-            # An update of this process whose answer was lost turned up in a read.
-            now = trio.current_time()
-            known = (self._attempts.get(record.attempt, now - SEND_WINDOW_S), now)
-            self._won_at[record.fence] = known
-        return known
-
-    async def _everyone_stopped(self, record: LeadershipRecord, won_at: float) -> list[str]:
-        """Return once no box uses an old primary; the groups whose lost one answers again."""
-        listed = await self._list_anew()
-        silent = dict(self._directory.boxes)
-        if all(moving.planned for moving in record.moving.values()):
-            await self._let_silent_leases_end(won_at)
-        await self._server.stop_using(record)
-        vouched = False
-        while silent or not listed:
-            vouched |= await self._ask_words(silent, record)
-            now = trio.current_time()
-            answering = self._answering_again(record, won_at)
-            if answering:
-                return answering
-            if now >= won_at + LEASE_S and (vouched or self._is_old_member(now)):
-                self._state.log.change("lease_waited_out", silent=sorted(silent))
-                break
-            if silent or not listed:
-                await trio.sleep(ASK_AGAIN_S)
-        return []
-
-    async def _let_silent_leases_end(self, won_at: float) -> None:
-        """Let the other boxes go on for most of the wait for boxes that cannot be asked."""
-        await self._directory.round()
-        if self._directory.boxes.keys() - self._directory.replies.keys():
-            await trio.sleep_until(won_at + LEASE_S - STOP_BEFORE_S)
-
-    async def _list_anew(self) -> bool:
-        """Read the list of boxes after the record was won; return whether it was read.
-
-        A box joins the list before its first lease, so this list holds every box
-        that may hold a lease from before the win.
-        """
-        asked_at = trio.current_time()
-        try:
-            listing = await self._store.read()
-        except PlatformUnavailableError as error:
-            self._state.log.event("boxes_not_listed", why=str(error))
-            return False
-        return self._take_listing(listing, asked_at)
-
     async def _lost_that_answer(self, record: LeadershipRecord) -> list[str]:
         """Ask every lost primary once more, unless just done; return the groups whose answers."""
         answering: list[str] = []
@@ -369,7 +254,7 @@
         self._asked_lost_at = now
 
         async def ask(group: str, row: EndpointRow) -> None:
-            if await self._status(row) is not None:
+            if await self._successors.status(row) is not None:
                 self._state.log.change("old_primary_answers", group=group, endpoint=row.name)
                 answering.append(group)
 
@@ -380,78 +265,16 @@
                     nursery.start_soon(ask, group, row)
         return answering
 
-    def _answering_again(self, record: LeadershipRecord, won_at: float) -> list[str]:
-        """Return the groups whose lost primary answers again and may still go on leading."""
-        answering = []
-        for group, moving in record.moving.items():
-            row = self._state.rows.get(moving.old.endpoint)
-            if moving.planned or moving.ordered or row is None:
-                continue
-            if row.heard_at > won_at:
-                self._state.log.change("old_primary_answers", group=group, endpoint=row.name)
-                answering.append(group)
-        return answering
-
-    async def _ask_words(self, silent: dict[str, Box], record: LeadershipRecord) -> bool:
-        """Ask the silent boxes for their word; return whether an old member gave one.
-
-        A silent box's rounds ask every box that was listed `LISTING_S` before, so an
-        old member that knows of the change keeps it from renewing its lease.
-        """
-        members: list[float] = []
-
-        async def ask(name: str) -> None:
-            box = self._directory.boxes.get(name)
-            if box is None:
-                silent.pop(name, None)
-                return
-            listed_s = await self._directory.ask_word(box, record)
-            if listed_s is not None:
-                members.append(listed_s)
-                silent.pop(name, None)
-
-        async with trio.open_nursery() as nursery:
-            for name in list(silent):
-                nursery.start_soon(ask, name)
-        return any(listed_s > LISTING_S + LEASE_S for listed_s in members)
-
-    def _is_old_member(self, now: float) -> bool:
-        """Return whether every other box's list must hold this box by now."""
-        return self._directory.listed_s(now) > LISTING_S + LEASE_S
-
     async def _ready_to_order(self, record: LeadershipRecord) -> LeadershipRecord:
         """Return the record with each change's best successor, marked as ordered."""
         for group, moving in record.moving.items():
             if moving.planned:
-                await self._successor_caught_up(moving)
-            best = await self._best_successor(group, moving)
+                await self._successors.wait_caught_up(moving)
+            best = await self._successors.best(group, moving)
             ordered = attrs.evolve(moving, successor=best, ordered=True)
             record = record.with_group(group, ordered)
         return record
 
-    async def _successor_caught_up(self, moving: Moving) -> None:
-        """Wait until the successor has received all that the old primary holds."""
-        old = self._state.rows.get(moving.old.endpoint)
-        new = self._state.rows.get(moving.successor)
-        if old is None or new is None:
-            return
-        with trio.move_on_after(CATCH_UP_S):
-            while True:
-                at_old, at_new = await self._status(old), await self._status(new)
-                if at_old is not None and at_new is not None and at_new.received >= at_old.received:
-                    return
-                await trio.sleep(LEADS_LOOK_S)
-        self._state.log.event("successor_behind", endpoint=moving.successor)
-
-    async def _best_successor(self, group: str, moving: Moving) -> str:
-        """Return the endpoint that has received most, the recorded one if it has."""
-        candidates = await self._candidates(group, moving.old.endpoint)
-        best = best_candidate(candidates)
-        named = next((each for each in candidates if each.name == moving.successor), None)
-        if best is None or (named is not None and named.received >= best.received):
-            return moving.successor
-        return best.name
-
     async def _promote_all(self, record: LeadershipRecord) -> list[str]:
         """Order every promotion and record those that took effect.
 
@@ -467,7 +290,7 @@
             if not await self._promote(group, moving, record.fence):
                 not_running.append(group)
                 return
-            leading = await self._leading(moving)
+            leading = await self._successors.leading(moving)
             if leading is not None:
                 led[group] = leading
 
@@ -496,18 +319,6 @@
             await trio.sleep(ASK_AGAIN_S)
         return accepted
 
-    async def _leading(self, moving: Moving) -> Leading | None:
-        """Return the successor with its term once it says that it leads."""
-        row = self._state.rows.get(moving.successor)
-        with trio.move_on_after(LEADS_WITHIN_S):
-            while row is not None and not row.gone:
-                status = await self._status(row)
-                if status is not None and status.leads and status.term > moving.old.term:
-                    return Leading(moving.successor, status.term)
-                await trio.sleep(LEADS_LOOK_S)
-        self._state.log.event("successor_does_not_lead", endpoint=moving.successor)
-        return None
-
     async def _record_led(self, record: LeadershipRecord, led: dict[str, Leading]) -> None:
         """Record the new primaries, tell every box, and demote the old ones."""
         moved = record.moving
@@ -515,7 +326,7 @@
             record = record.with_group(group, leading)
         for _ in range(RECORD_TRIES):
             try:
-                if await self._write(record):
+                if await self._writer.write(record):
                     break
                 return
             except PlatformUnavailableError as error:
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -11,7 +11,8 @@
 from wharftiller.core.errors import PlatformUnavailableError, UnknownPathError
 from wharftiller.core.leadership.moves import turn_of
 from wharftiller.core.sessions.routes import EndpointEntry
-from wharftiller.daemons.sessions.boxes import ROUND_S, Box, BoxDirectory, BoxServer
+from wharftiller.daemons.sessions.box_server import BoxServer
+from wharftiller.daemons.sessions.boxes import ROUND_S, Box, BoxDirectory
 from wharftiller.daemons.sessions.callers import SessionServer
 from wharftiller.daemons.sessions.gauges import believed
 from wharftiller.daemons.sessions.mover import PrimaryMover
--- /dev/null
+++ b/wharftiller/daemons/sessions/record_writer.py
@@ -0,0 +1,71 @@
+"""Write the record of leadership and remember which updates were this box's own."""
+
+from __future__ import annotations
+
+import itertools
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from wharftiller.core.leadership.moves import SEND_WINDOW_S
+
+if TYPE_CHECKING:
+    from wharftiller.core.leadership.record import LeadershipRecord
+    from wharftiller.daemons.sessions.seams import SharedObjects
+    from wharftiller.daemons.sessions.state import SharedState
+
+
+class RecordWriter:
+    """Writes the record for one process.
+
+    Parameters
+    ----------
+    incarnation : str
+        Id of this process; the record's holder.
+    """
+
+    def __init__(self, state: SharedState, store: SharedObjects, incarnation: str) -> None:
+        self._state = state
+        self._store = store
+        self._numbers = itertools.count(1)
+        self._attempts: dict[str, float] = {}
+        self._won_at: dict[int, tuple[float, float]] = {}
+        self.incarnation = incarnation
+
+    async def write(self, record: LeadershipRecord) -> bool:
+        """Replace the record; return whether this box's own update stands there."""
+        attempt = f"{self.incarnation}.{next(self._numbers)}"
+        asked_at = self._attempts[attempt] = trio.current_time()
+        stands = await self._store.replace_record(attrs.evolve(record, attempt=attempt))
+        won = stands.attempt in self._attempts
+        if won:
+            self._won_at.setdefault(stands.fence, (asked_at, trio.current_time()))
+        self._state.leases.adopt(stands)
+        self._state.log.change(
+            "record_written" if won else "record_lost",
+            revision=stands.revision,
+            fence=stands.fence,
+            holder=stands.holder,
+        )
+        self._state.wake()
+        return won
+
+    def as_holder(self, record: LeadershipRecord) -> LeadershipRecord:
+        """Return the record with this process as its holder, under a new fence."""
+        return attrs.evolve(record, fence=record.fence + 1, holder=self.incarnation)
+
+    def won(self, record: LeadershipRecord) -> tuple[float, float]:
+        """Return when the record was asked for and when this box learned that it won it."""
+        known = self._won_at.get(record.fence)
+        if known is None:
+            # An update of this process whose answer was lost turned up in a read.
+            now = trio.current_time()
+            known = (self._attempts.get(record.attempt, now - SEND_WINDOW_S), now)
+            self._won_at[record.fence] = known
+        return known
+
+    def asked_at(self, record: LeadershipRecord) -> float:
+        """Return when this process asked for the update that made ``record``, in seconds."""
+        return self._attempts.get(record.attempt, -math.inf)
--- /dev/null
+++ b/wharftiller/daemons/sessions/stopping.py
@@ -0,0 +1,133 @@
+"""Have every box stop using the primaries being replaced, or wait until its leases end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from wharftiller.core.errors import PlatformUnavailableError
+from wharftiller.core.leadership.lease import LEASE_S, LISTING_S
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wharftiller.core.leadership.record import LeadershipRecord
+    from wharftiller.daemons.sessions.box_server import BoxServer
+    from wharftiller.daemons.sessions.boxes import Box, BoxDirectory
+    from wharftiller.daemons.sessions.seams import SharedListing, SharedObjects
+    from wharftiller.daemons.sessions.state import SharedState
+
+WORDS_AGAIN_S = 0.2
+"""Time between questions to boxes that did not answer as hoped, in seconds."""
+
+STOP_BEFORE_S = 0.4
+"""How long before silent boxes' leases end the others are asked to stop, in seconds.
+
+Time for a few statements to end; an open transaction may take `QUIET_WAIT_S`.
+"""
+
+
+class BoxStopper:
+    """Has this box and every other one stop.
+
+    Parameters
+    ----------
+    take_listing : callable
+        Takes in a read of what boxes share, asked for at a time in seconds; returns
+        whether this process stands in it.
+    """
+
+    def __init__(
+        self,
+        state: SharedState,
+        directory: BoxDirectory,
+        server: BoxServer,
+        store: SharedObjects,
+        take_listing: Callable[[SharedListing, float], bool],
+    ) -> None:
+        self._state = state
+        self._directory = directory
+        self._server = server
+        self._store = store
+        self._take_listing = take_listing
+
+    async def everyone_stopped(self, record: LeadershipRecord, won_at: float) -> list[str]:
+        """Return once no box uses an old primary; the groups whose lost one answers again."""
+        listed = await self._list_anew()
+        silent = dict(self._directory.boxes)
+        if all(moving.planned for moving in record.moving.values()):
+            await self._let_silent_leases_end(won_at)
+        await self._server.stop_using(record)
+        vouched = False
+        while silent or not listed:
+            vouched |= await self._ask_words(silent, record)
+            now = trio.current_time()
+            answering = self._answering_again(record, won_at)
+            if answering:
+                return answering
+            if now >= won_at + LEASE_S and (vouched or self._is_old_member(now)):
+                self._state.log.change("lease_waited_out", silent=sorted(silent))
+                break
+            if silent or not listed:
+                await trio.sleep(WORDS_AGAIN_S)
+        return []
+
+    async def _let_silent_leases_end(self, won_at: float) -> None:
+        """Let the other boxes go on for most of the wait for boxes that cannot be asked."""
+        await self._directory.round()
+        if self._directory.boxes.keys() - self._directory.replies.keys():
+            await trio.sleep_until(won_at + LEASE_S - STOP_BEFORE_S)
+
+    async def _list_anew(self) -> bool:
+        """Read the list of boxes after the record was won; return whether it was read.
+
+        A box joins the list before its first lease, so this list holds every box
+        that may hold a lease from before the win.
+        """
+        asked_at = trio.current_time()
+        try:
+            listing = await self._store.read()
+        except PlatformUnavailableError as error:
+            self._state.log.event("boxes_not_listed", why=str(error))
+            return False
+        return self._take_listing(listing, asked_at)
+
+    def _answering_again(self, record: LeadershipRecord, won_at: float) -> list[str]:
+        """Return the groups whose lost primary answers again and may still go on leading."""
+        answering = []
+        for group, moving in record.moving.items():
+            row = self._state.rows.get(moving.old.endpoint)
+            if moving.planned or moving.ordered or row is None:
+                continue
+            if row.heard_at > won_at:
+                self._state.log.change("old_primary_answers", group=group, endpoint=row.name)
+                answering.append(group)
+        return answering
+
+    async def _ask_words(self, silent: dict[str, Box], record: LeadershipRecord) -> bool:
+        """Ask the silent boxes for their word; return whether an old member gave one.
+
+        A silent box's rounds ask every box that was listed `LISTING_S` before, so an
+        old member that knows of the change keeps it from renewing its lease.
+        """
+        members: list[float] = []
+
+        async def ask(name: str) -> None:
+            box = self._directory.boxes.get(name)
+            if box is None:
+                silent.pop(name, None)
+                return
+            listed_s = await self._directory.ask_word(box, record)
+            if listed_s is not None:
+                members.append(listed_s)
+                silent.pop(name, None)
+
+        async with trio.open_nursery() as nursery:
+            for name in list(silent):
+                nursery.start_soon(ask, name)
+        return any(listed_s > LISTING_S + LEASE_S for listed_s in members)
+
+    def _is_old_member(self, now: float) -> bool:
+        """Return whether every other box's list must hold this box by now."""
+        return self._directory.listed_s(now) > LISTING_S + LEASE_S
--- /dev/null
+++ b/wharftiller/daemons/sessions/successors.py
@@ -0,0 +1,92 @@
+"""Choose the endpoint that takes a group over, and see it catch up and lead."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from wharftiller.core.errors import EndpointRefusedError, ExchangeError
+from wharftiller.core.leadership.moves import Candidate, best_candidate
+from wharftiller.core.leadership.record import Leading, Moving
+
+if TYPE_CHECKING:
+    from wharftiller.core.sessions.endpoints import EndpointRow
+    from wharftiller.core.sessions.statements import EndpointStatus
+    from wharftiller.daemons.sessions.probes import Prober
+    from wharftiller.daemons.sessions.state import SharedState
+
+CATCH_UP_S = 1.5
+"""Time a successor may take to receive a living primary's last writes, in seconds."""
+
+LEADS_WITHIN_S = 3.0
+"""Time within which a promoted endpoint should say that it leads, in seconds."""
+
+LEADS_LOOK_S = 0.06
+"""Time between looks at whether it does, in seconds."""
+
+
+class Successors:
+    """Asks endpoints for what they have received and whether they lead."""
+
+    def __init__(self, state: SharedState, prober: Prober) -> None:
+        self._state = state
+        self._prober = prober
+
+    async def candidates(self, group: str, old: str) -> list[Candidate]:
+        """Ask the group's replicas for what they have received."""
+        found: list[Candidate] = []
+
+        async def ask(row: EndpointRow) -> None:
+            status = await self.status(row)
+            if status is not None:
+                found.append(Candidate(row.name, status.received, row.entry.data_centre))
+
+        async with trio.open_nursery() as nursery:
+            for row in self._state.rows_of(group):
+                if row.name != old and row.leaving_since is None:
+                    nursery.start_soon(ask, row)
+        return found
+
+    async def status(self, row: EndpointRow) -> EndpointStatus | None:
+        """Return what an endpoint says of itself, or None if it does not answer."""
+        try:
+            return await self._prober.status(row)
+        except (ExchangeError, EndpointRefusedError) as error:
+            self._state.log.event("no_status", endpoint=row.name, why=str(error))
+            return None
+
+    async def wait_caught_up(self, moving: Moving) -> None:
+        """Wait until the successor has received all that the old primary holds."""
+        old = self._state.rows.get(moving.old.endpoint)
+        new = self._state.rows.get(moving.successor)
+        if old is None or new is None:
+            return
+        with trio.move_on_after(CATCH_UP_S):
+            while True:
+                at_old, at_new = await self.status(old), await self.status(new)
+                if at_old is not None and at_new is not None and at_new.received >= at_old.received:
+                    return
+                await trio.sleep(LEADS_LOOK_S)
+        self._state.log.event("successor_behind", endpoint=moving.successor)
+
+    async def best(self, group: str, moving: Moving) -> str:
+        """Return the endpoint that has received most, the recorded one if it has."""
+        candidates = await self.candidates(group, moving.old.endpoint)
+        best = best_candidate(candidates)
+        named = next((each for each in candidates if each.name == moving.successor), None)
+        if best is None or (named is not None and named.received >= best.received):
+            return moving.successor
+        return best.name
+
+    async def leading(self, moving: Moving) -> Leading | None:
+        """Return the successor with its term once it says that it leads."""
+        row = self._state.rows.get(moving.successor)
+        with trio.move_on_after(LEADS_WITHIN_S):
+            while row is not None and not row.gone:
+                status = await self.status(row)
+                if status is not None and status.leads and status.term > moving.old.term:
+                    return Leading(moving.successor, status.term)
+                await trio.sleep(LEADS_LOOK_S)
+        self._state.log.event("successor_does_not_lead", endpoint=moving.successor)
+        return None
