--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -10,12 +10,12 @@
 
 from wharftiller.core.errors import PlatformUnavailableError, UnknownPathError
 from wharftiller.core.leadership.moves import turn_of
-from wharftiller.core.sessions.routes import EndpointEntry
 from wharftiller.daemons.sessions.box_server import BoxServer
 from wharftiller.daemons.sessions.boxes import ROUND_S, Box, BoxDirectory
 from wharftiller.daemons.sessions.callers import SessionServer
 from wharftiller.daemons.sessions.gauges import believed
 from wharftiller.daemons.sessions.mover import PrimaryMover
+from wharftiller.daemons.sessions.neighbours import Neighbours
 from wharftiller.daemons.sessions.pool import MAINTENANCE_S
 from wharftiller.daemons.sessions.probes import Prober
 from wharftiller.daemons.sessions.readers import ReaderClient, ReaderDesk
@@ -75,9 +75,6 @@
 Less than half of the lease (6 s): several rounds fit in before it runs out.
 """
 
-LEARN_AGAIN_S = 0.5
-"""Time between questions to neighbours while nothing is configured, in seconds."""
-
 BALANCER_SEES_S = 2.3
 """Time until the balancer has taken an unready box out, in seconds: two missed looks, 1 s apart."""
 
@@ -139,7 +136,6 @@
         self._identity = identity
         self._shared = shared
         self._log = log
-        self._decode_configuration = decode_configuration
         self._nursery = nursery
         incarnation = f"{identity.name}/{secrets.token_hex(6)}"
         self._box = Box(
@@ -151,8 +147,15 @@
         self._desk = ReaderDesk(self.state, incarnation)
         self._readers = ReaderClient(self.state, self._directory, self._box, self.take_listing)
         self._prober = Prober(self.state, self._directory, dialer, nursery)
+        self._neighbours = Neighbours(
+            self.state,
+            self._directory,
+            [seed for seed in identity.seeds if seed != identity.address],
+            decode_configuration,
+            nursery,
+        )
         self._box_server = BoxServer(
-            self.state, self._directory, self._desk, self._known, self._prober.check
+            self.state, self._directory, self._desk, self._neighbours.known, self._prober.check
         )
         self.relay = RelayServer(transport, self.state.is_endpoint)
         self._mover = PrimaryMover(
@@ -185,7 +188,7 @@
             self._renew_for_ever,
             self._read_for_ever,
             self._choose_feeds,
-            self._learn_from_neighbours,
+            self._neighbours.learn_at_start,
             self._maintain_for_ever,
             self._prober.run,
             self._mover.run,
@@ -215,7 +218,7 @@
                 self._renewed = await self._renew_by_reader()
             elif self._directory.boxes:
                 self._renewed = await self._directory.round()
-                self._learn_newer()
+                self._neighbours.learn_newer()
             with trio.move_on_after(ROUND_S):
                 await self.state.check_soon.wait()
 
@@ -223,11 +226,11 @@
         """Renew the leases through a reader; by a round once that has failed for a while."""
         renewed = self._readers.is_reader or await self._readers.ask()
         if self._readers.newer_at is not None:
-            self._nursery.start_soon(self._learn_from, self._readers.newer_at)
+            self._nursery.start_soon(self._neighbours.learn_from, self._readers.newer_at)
             self._readers.newer_at = None
         if trio.current_time() - self._directory.platform_read_at > ROUNDS_AFTER_S:
             await self._directory.round()
-            self._learn_newer()
+            self._neighbours.learn_newer()
         return renewed
 
     async def _read_for_ever(self) -> None:
@@ -324,50 +327,6 @@
         """Tell the other boxes of a change that the platform's watches did not tell."""
         self._nursery.start_soon(self._directory.tell_news)
 
-    # Learning from other boxes ------------------------------------------
-
-    def _known(self) -> dict[str, Any]:
-        rows = self.state.rows.values()
-        return {
-            "configuration": self.state.configuration.document,
-            "endpoints_revision": self.state.endpoints_revision,
-            "endpoints": [attrs.asdict(row.entry) for row in rows if not row.gone],
-        }
-
-    async def _learn_from_neighbours(self) -> None:
-        """Ask the seeds while this box knows no configuration, as when the platform is away."""
-        await trio.sleep(LEARN_AGAIN_S)
-        while self.state.version == 0 or not self.state.rows:
-            for address in self._identity.seeds:
-                if address != self._identity.address:
-                    await self._learn_from(address)
-            await trio.sleep(LEARN_AGAIN_S)
-
-    async def _learn_from(self, address: str) -> None:
-        known = await self._directory.fetch_known(address)
-        if known is None or known.get("configuration") is None:
-            return
-        try:
-            configuration = self._decode_configuration(known["configuration"])
-            entries = [EndpointEntry(**each) for each in known["endpoints"]]
-            revision = int(known["endpoints_revision"])
-        except (KeyError, TypeError, ValueError) as error:
-            self._log.event("neighbour_not_understood", other=address, why=repr(error))
-            return
-        self.state.take_configuration(configuration, f"box {address}")
-        self.state.take_endpoints(entries, revision)
-
-    def _learn_newer(self) -> None:
-        """Fetch configuration and endpoints from a box that knows newer ones."""
-        state = self.state
-        for name, reply in self._directory.replies.items():
-            newer = reply.version > state.version
-            if newer or reply.endpoints_revision > state.endpoints_revision:
-                box = self._directory.boxes.get(name)
-                if box is not None:
-                    self._nursery.start_soon(self._learn_from, box.address)
-                    return
-
     # Maintenance and stopping -------------------------------------------
 
     async def _maintain_for_ever(self) -> None:
