--- a/wharftiller/core/leadership/lease.py
+++ b/wharftiller/core/leadership/lease.py
@@ -107,6 +107,13 @@
         lease = self._leases.get(group)
         return lease if lease is not None and lease.valid(now) else None
 
+    def misses_lease(self, now: float) -> bool:
+        """Return whether a primary is recorded on which there is no valid lease."""
+        return any(
+            isinstance(state, Leading) and self.lease(group, now) is None
+            for group, state in self.record.groups.items()
+        )
+
     def last_lease(self, group: str) -> GroupLease | None:
         """Return the lease on ``group``, valid or not."""
         return self._leases.get(group)
--- a/wharftiller/core/sessions/session.py
+++ b/wharftiller/core/sessions/session.py
@@ -21,6 +21,8 @@
         When it began and when its last statement was answered, in seconds.
     wrote : bool
         Whether a write was sent on it.
+    counted : bool
+        Whether a planned change of primary waits for its end.
     """
 
     route: Route
@@ -29,6 +31,7 @@
     used_at: float
     connection: Any = None
     wrote: bool = False
+    counted: bool = False
     failed: bool = False
 
 
--- a/wharftiller/core/sessions/statements.py
+++ b/wharftiller/core/sessions/statements.py
@@ -85,7 +85,20 @@
     shape: str
 
 
-Body = Begin | Commit | Rollback | Direct | Execute | SetValue | Prepare | Deallocate
+@attrs.frozen
+class Malformed:
+    """What the caller sent is no statement.
+
+    Attributes
+    ----------
+    why : str
+        What is wrong with it and what would do.
+    """
+
+    why: str
+
+
+Body = Malformed | Begin | Commit | Rollback | Direct | Execute | SetValue | Prepare | Deallocate
 
 
 @attrs.frozen
--- a/wharftiller/daemons/sessions/mover.py
+++ b/wharftiller/daemons/sessions/mover.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -50,8 +49,11 @@
 ASK_AGAIN_S = 0.2
 """Time before a promotion or an update that failed is asked for again, in seconds."""
 
-ASKED_LOST_S = 1.5
-"""Time for which a lost primary's silence to a question stands, in seconds."""
+ASK_LOST_S = 0.3
+"""Time that a lost primary has for its last word before anything is ordered, in seconds.
+
+A hundred round trips between data centres; every change of a dark primary pays it.
+"""
 
 RECORD_TRIES = 5
 """Times a finished change is offered to the platform before the next look does it again."""
@@ -62,9 +64,9 @@
 
 @attrs.define
 class _Seen:
-    """Since when this box has seen a change under one fence."""
+    """Since when this box has seen a change at one revision of the record."""
 
-    fence: int
+    revision: int
     at: float
 
 
@@ -96,7 +98,6 @@
         self._successors = Successors(state, prober)
         self._stopper = BoxStopper(state, directory, server, store, take_listing)
         self._seen: _Seen | None = None
-        self._asked_lost_at = -math.inf
         self._started_at = trio.current_time()
 
     async def run(self) -> None:
@@ -175,7 +176,6 @@
         all_answer = self._directory.boxes.keys() <= self._directory.replies.keys()
         if not planned and not is_lost(row, turn, now, all_answer=all_answer):
             return None
-        self._asked_lost_at = now
         best = best_candidate(await self._successors.candidates(group, leading.endpoint))
         if best is None:
             self._state.log.event("no_successor", group=group, old=leading.endpoint)
@@ -246,17 +246,14 @@
         return True
 
     async def _lost_that_answer(self, record: LeadershipRecord) -> list[str]:
-        """Ask every lost primary once more, unless just done; return the groups whose answers."""
+        """Ask every lost primary once more; return the groups whose answers."""
         answering: list[str] = []
-        now = trio.current_time()
-        if now - self._asked_lost_at < ASKED_LOST_S:
-            return answering
-        self._asked_lost_at = now
 
         async def ask(group: str, row: EndpointRow) -> None:
-            if await self._successors.status(row) is not None:
-                self._state.log.change("old_primary_answers", group=group, endpoint=row.name)
-                answering.append(group)
+            with trio.move_on_after(ASK_LOST_S):
+                if await self._successors.status(row) is not None:
+                    self._state.log.change("old_primary_answers", group=group, endpoint=row.name)
+                    answering.append(group)
 
         async with trio.open_nursery() as nursery:
             for group, moving in record.moving.items():
@@ -342,8 +339,8 @@
     async def _may_take_over(self, record: LeadershipRecord) -> bool:
         """Return whether the holder of a change can surely order nothing any more."""
         now = trio.current_time()
-        if self._seen is None or self._seen.fence != record.fence:
-            self._seen = _Seen(record.fence, now)
+        if self._seen is None or self._seen.revision != record.revision:
+            self._seen = _Seen(record.revision, now)
         turn = self._turn(str(record.fence))
         seen_s = now - self._seen.at - turn * FIRST_TURN_S
         if seen_s > FIRST_TURN_S:
--- a/wharftiller/daemons/sessions/neighbours.py
+++ b/wharftiller/daemons/sessions/neighbours.py
@@ -71,7 +71,7 @@
             configuration = self._decode_configuration(known["configuration"])
             entries = [EndpointEntry(**each) for each in known["endpoints"]]
             revision = int(known["endpoints_revision"])
-        except (KeyError, TypeError, ValueError) as error:
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
             self._state.log.event("neighbour_not_understood", other=address, why=repr(error))
             return
         self._state.take_configuration(configuration, f"box {address}")
--- a/wharftiller/daemons/sessions/pool.py
+++ b/wharftiller/daemons/sessions/pool.py
@@ -258,6 +258,8 @@
     def _refused(self, error: EndpointRefusedError) -> None:
         if error.at_limit:
             self._refused_until = trio.current_time() + REFUSED_PAUSE_S
+            # It answered: it is full, not silent.
+            self.row.heard(trio.current_time())
         else:
             self.row.gone = True
             self.row.failed(trio.current_time())
--- a/wharftiller/daemons/sessions/probes.py
+++ b/wharftiller/daemons/sessions/probes.py
@@ -155,6 +155,7 @@
                 status = await connection.link.status()
             except BaseException:
                 connection.close()
+                row.failed(started)
                 raise
             connection.release()
             row.heard(trio.current_time())
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -66,6 +66,12 @@
 FEEDS_WAIT_S = 1.0
 """Time for the first read of the platform before feeds are followed all the same, in seconds."""
 
+MISSING_LEASE_READ_S = 0.25
+"""Time between reads while a primary is recorded that this box may not use yet, in seconds.
+
+After a change of primary, every box's first lease on the new one waits for this.
+"""
+
 READ_LOOK_S = 0.1
 """Time between looks at whether to read again, in seconds."""
 
@@ -243,6 +249,8 @@
 
     def _read_is_due(self, since_s: float) -> bool:
         """Return whether to read again, ``since_s`` seconds after the last try."""
+        if since_s >= MISSING_LEASE_READ_S and self.state.leases.misses_lease(trio.current_time()):
+            return True
         if since_s < READER_READS_S:
             return False
         if self._readers.applies:
--- a/wharftiller/daemons/sessions/readers.py
+++ b/wharftiller/daemons/sessions/readers.py
@@ -202,6 +202,7 @@
             ) from None
         self.newer_at = reader.address if newer else None
         self._directory.platform_read_at = max(self._directory.platform_read_at, read_at)
-        if value["revision"] == record.revision:
-            self._take(SharedListing(record, dict(self._boxes)), read_at)
+        listing = SharedListing(record, dict(self._boxes))
+        if value["revision"] == record.revision and not self._take(listing, read_at):
+            return False
         return trio.current_time() - read_at < READ_FRESH_S
--- a/wharftiller/daemons/sessions/routed.py
+++ b/wharftiller/daemons/sessions/routed.py
@@ -119,5 +119,5 @@
 
 
 def come_back(why: str) -> str:
-    """Return the detail of a refusal that ran nothing and passes soon."""
-    return f"{why}; nothing was run, come back in {COME_BACK_MS} ms"
+    """Return the detail of a refusal after which nothing is kept and that passes soon."""
+    return f"{why}; nothing is kept, come back in {COME_BACK_MS} ms"
--- a/wharftiller/daemons/sessions/singles.py
+++ b/wharftiller/daemons/sessions/singles.py
@@ -116,11 +116,18 @@
     async def _read(self, routed: RoutedStatement) -> Reply:
         tried: set[str] = set()
         last: Reply | None = None
+        may_have_run = False
         for _ in range(READ_TRIES):
-            row, after = await self._chooser.for_read(routed, routed.arrived_at, tried)
+            try:
+                row, after = await self._chooser.for_read(routed, routed.arrived_at, tried)
+            except StatementRefusedError as error:
+                if may_have_run:
+                    raise StatementRefusedError(RefusalKind.ROLLED_BACK, error.detail) from error
+                raise
             tried.add(row.name)
             reply = await self._read_once(routed, row, after)
             if reply is None:
+                may_have_run = True
                 continue
             if reply.refusal is None:
                 return reply
@@ -133,6 +140,9 @@
                 await trio.sleep(BUSY_PAUSE_S)
         if last is not None and last.refusal is not None and not last.refusal.has_not_run:
             return last
+        if may_have_run:
+            detail = "no endpoint answered the read"
+            raise StatementRefusedError(RefusalKind.ROLLED_BACK, come_back(detail))
         detail = "no endpoint could run the read"
         raise StatementRefusedError(RefusalKind.NO_CAPACITY, come_back(detail))
 
--- a/wharftiller/daemons/sessions/state.py
+++ b/wharftiller/daemons/sessions/state.py
@@ -305,7 +305,7 @@
     # Work under way -----------------------------------------------------
 
     def transaction_began(self, group: str) -> None:
-        """Count a transaction of this box."""
+        """Count a transaction that may write and is open on the primary."""
         self._activity[group].transactions += 1
 
     def transaction_ended(self, group: str) -> None:
--- a/wharftiller/daemons/sessions/statements.py
+++ b/wharftiller/daemons/sessions/statements.py
@@ -8,6 +8,7 @@
     Begin,
     Commit,
     Deallocate,
+    Malformed,
     Prepare,
     RefusalKind,
     Reply,
@@ -48,6 +49,8 @@
         if transaction is not None and transaction.failed:
             return self._after_failure(session, statement)
         match statement.body:
+            case Malformed(why):
+                return refused(RefusalKind.MALFORMED, why, session.state)
             case SetValue(name, value):
                 session.values[name] = value
             case Prepare(name, prepared):
--- a/wharftiller/daemons/sessions/transactions.py
+++ b/wharftiller/daemons/sessions/transactions.py
@@ -48,7 +48,6 @@
     def begin(self, session: Session, route: Route, read_only: bool, arrived_at: float) -> Reply:
         """Open a transaction; its first statement chooses the endpoint."""
         session.transaction = OpenTransaction(route, read_only, arrived_at, arrived_at)
-        self._state.transaction_began(route.group)
         return Reply(SessionState.IN_TRANSACTION)
 
     def end(self, session: Session) -> None:
@@ -56,16 +55,23 @@
         transaction, session.transaction = session.transaction, None
         if transaction is None:
             return
-        self._state.transaction_ended(transaction.route.group)
+        self._counts_no_more(transaction)
         connection, transaction.connection = transaction.connection, None
         if connection is not None:
             self._state.roll_back(connection)
 
+    def _counts_no_more(self, transaction: OpenTransaction) -> None:
+        """Let a planned change of primary wait for ``transaction`` no longer."""
+        if transaction.counted:
+            transaction.counted = False
+            self._state.transaction_ended(transaction.route.group)
+
     def fail(self, session: Session) -> None:
         """Give up the open transaction's connection; the caller is told at its next statement."""
         transaction = session.transaction
         assert transaction is not None
         transaction.failed = True
+        self._counts_no_more(transaction)
         connection, transaction.connection = transaction.connection, None
         if connection is not None:
             connection.close()
@@ -95,9 +101,11 @@
     async def _bind(self, routed: RoutedStatement, transaction: OpenTransaction) -> None:
         """Open the transaction on an endpoint."""
         begin = Begin(transaction.read_only)
+        tried: set[str] = set()
         for _ in range(READ_TRIES):
             if transaction.read_only:
-                row, after = await self._chooser.for_read(routed, transaction.begun_at)
+                row, after = await self._chooser.for_read(routed, transaction.begun_at, tried)
+                tried.add(row.name)
             else:
                 row, after = await self._chooser.primary(routed), None
             with trio.move_on_at(routed.until):
@@ -115,6 +123,9 @@
                 if reply.refusal is None:
                     self._state.learn_point(row, reply.position, asked_at)
                     transaction.connection = connection
+                    if not transaction.read_only:
+                        transaction.counted = True
+                        self._state.transaction_began(transaction.route.group)
                     return
                 connection.release(reply.state)
                 self._state.learn_refusal(row, reply.refusal, after)
@@ -181,7 +192,7 @@
                 return refused(RefusalKind.ROLLED_BACK, come_back(detail), SessionState.IDLE)
             return attrs.evolve(reply, state=SessionState.IDLE)
         session.transaction = None
-        self._state.transaction_ended(transaction.route.group)
+        self._counts_no_more(transaction)
         connection.release()
         return reply
 
--- a/wharftiller/decisions.py
+++ b/wharftiller/decisions.py
@@ -36,8 +36,8 @@
 SAMPLED_OF = 64
 """One in so many ordinary answers is logged."""
 
-PENDING_BYTES = 500_000
-"""Bytes kept that standard output has not taken yet."""
+CHUNK_BYTES = 4_096
+"""Bytes that a write to a pipe takes or refuses as a whole (PIPE_BUF of the system)."""
 
 FLUSH_S = 0.5
 """Time between writes to standard output, in seconds."""
@@ -66,7 +66,7 @@
         self._box = box
         self._lines: collections.deque[str] = collections.deque(maxlen=BUFFER_LINES)
         self._formatter = JsonFormatter("{message}", style="{", rename_fields={"message": "event"})
-        self._pending = b""
+        self._pending: collections.deque[bytes] = collections.deque()
         self._window = 0
         self.counts: collections.Counter[str] = collections.Counter()
         self._written: collections.Counter[str] = collections.Counter()
@@ -148,21 +148,29 @@
             await trio.sleep(FLUSH_S)
 
     def flush(self) -> None:
-        """Write what standard output takes at once; keep the rest."""
-        if self._lines:
-            self._pending += ("\n".join(self._lines) + "\n").encode()
-            self._lines.clear()
-        if not self._pending:
-            return
-        try:
-            written = self._write_out(self._pending)
-        except BlockingIOError:
-            written = 0
-        self._pending = self._pending[written:]
-        if len(self._pending) > PENDING_BYTES:
-            cut = self._pending.rfind(b"\n", 0, PENDING_BYTES) + 1
-            self._left_out["output_blocked_bytes"] += len(self._pending) - cut
-            self._pending = self._pending[:cut]
+        """Write what standard output takes at once, whole lines at a time; keep the rest."""
+        self._pending.extend((line + "\n").encode() for line in self._lines)
+        self._lines.clear()
+        while self._pending:
+            chunk = self._next_chunk()
+            try:
+                self._write_out(chunk)
+            except BlockingIOError:
+                break
+            for _ in range(chunk.count(b"\n")):
+                self._pending.popleft()
+        while len(self._pending) > BUFFER_LINES:
+            self._pending.popleft()
+            self._left_out["output_blocked"] += 1
+
+    def _next_chunk(self) -> bytes:
+        """Return as many whole lines as one write takes or refuses as a whole."""
+        chunk = b""
+        for line in self._pending:
+            if chunk and len(chunk) + len(line) > CHUNK_BYTES:
+                break
+            chunk += line
+        return chunk
 
 
 def _write_standard_output(data: bytes) -> int:
--- a/wharftiller/platform/callers.py
+++ b/wharftiller/platform/callers.py
@@ -7,8 +7,9 @@
 import trio
 
 from wharftiller.core.errors import BadRequestError, BodyTooLargeError
-from wharftiller.core.sessions.statements import Refusal, RefusalKind, Reply, SessionState
+from wharftiller.core.sessions.statements import Malformed, Refusal, RefusalKind, Statement
 from wharftiller.platform.wire import (
+    OWN_ID,
     LineReader,
     decode,
     encode_refusal,
@@ -17,7 +18,7 @@
 )
 
 if TYPE_CHECKING:
-    from wharftiller.core.sessions.statements import Statement
+    from wharftiller.core.sessions.statements import Reply
     from wharftiller.daemons.sessions.proxy import SessionProxy
 
 GREETING_TIMEOUT_S = 5.0
@@ -35,16 +36,14 @@
         self._reader = reader
 
     async def receive(self) -> Statement | None:
-        """Return the next statement; a line that is none is answered here."""
-        while True:
-            line = await self._reader.line()
-            if line is None or line == b"RELEASE":
-                return None
-            try:
-                return parse_statement(line)
-            except BadRequestError as error:
-                refusal = Refusal(RefusalKind.MALFORMED, str(error))
-                await self.send(Reply(SessionState.IDLE, refusal=refusal))
+        """Return the next statement, or None when the caller has left."""
+        line = await self._reader.line()
+        if line is None or line == b"RELEASE":
+            return None
+        try:
+            return parse_statement(line)
+        except BadRequestError as error:
+            return Statement(OWN_ID, decode(line), Malformed(str(error)))
 
     async def send(self, reply: Reply) -> None:
         """Send the answer to the last statement."""
--- a/wharftiller/tests/platform/test_changes_of_primary.py
+++ b/wharftiller/tests/platform/test_changes_of_primary.py
@@ -155,6 +155,7 @@
                 await trio.sleep(0.05)
             assert group.primary.name != "seats-0"
             assert longest_s < 2.0
+            assert len(group.promotions) == 1
 
         run_in_world(story)
 
@@ -313,3 +314,22 @@
                 assert await stream.receive_some() == b""
 
         run_in_world(story)
+
+
+class TestCutThatHeals:
+    def test_a_primary_that_came_back_meanwhile_is_never_replaced(self) -> None:
+        async def story(world: World) -> None:
+            group = world.groups[0]
+            boxes = [box.ip for box in world.boxes.values()]
+            for tenths in range(12, 40, 3):
+                world.network.cut(["10.2.0.1"], boxes)
+                await trio.sleep(tenths / 10)
+                world.network.heal()
+                promoted = len(group.promotions)
+                await trio.sleep(6)
+                if promoted == 0:
+                    assert group.promotions == [], f"after a cut of {tenths / 10} s"
+                else:
+                    return
+
+        run_in_world(story)
--- a/wharftiller/tests/platform/test_whole_path.py
+++ b/wharftiller/tests/platform/test_whole_path.py
@@ -210,3 +210,38 @@
         assert (await caller.ask("READ seat1"))[0] == "ROW none"
 
     run_in_world(story, boxes=1)
+
+
+class TestTruthOfRefusals:
+    def test_a_read_that_was_sent_is_not_refused_as_not_run(self) -> None:
+        async def story(world: World) -> None:
+            for server in world.groups[0].servers:
+                server.lose_answers = 10
+            caller = await world.call(world.boxes["box-1"], "primary")
+            assert (await caller.ask("READ seat1"))[0].startswith("ERROR ABORTED ")
+
+        run_in_world(story)
+
+    def test_a_malformed_text_leaves_the_transaction_as_it_was(self) -> None:
+        async def story(world: World) -> None:
+            caller = await world.call(world.boxes["box-1"], "primary")
+            await caller.ask("BEGIN")
+            await caller.ask("WRITE seat1 anna")
+            refused = await caller.ask("SELECT")
+            assert refused[0].startswith("ERROR MALFORMED ") and refused[-1] == "READY T -"
+            await caller.ask("COMMIT")
+            assert (await caller.ask("READ seat1"))[0] == "ROW anna"
+
+        run_in_world(story)
+
+    def test_an_endpoint_that_is_full_is_not_silent(self) -> None:
+        async def story(world: World) -> None:
+            world.groups[0].max_connections = 0
+            await trio.sleep(5)
+            for box in world.boxes.values():
+                assert box.process.proxy is not None
+                rows = box.process.proxy.state.rows_of("seats")
+                assert [row.unreachable_since for row in rows] == [None] * 3
+            assert world.groups[0].promotions == []
+
+        run_in_world(story)
