--- a/wharftiller/tests/core/leadership/test_lease.py
+++ b/wharftiller/tests/core/leadership/test_lease.py
@@ -109,11 +109,17 @@
         ("rules", "seeds", "lease_s"),
         [
             (Rules(asked_time_counts=False), (12, 148), 6.0),
-            # Recorded with leases of 4 s; 11,991 promotions with 6 s did not show it.
+            # Recorded with leases of 4 s.
             (Rules(restarted_boxes_read_first=False), (180,), 4.0),
+            (Rules(restarted_boxes_read_first=False), (10397,), 6.0),
             (Rules(list_read_after_win=False), (3, 4), 6.0),
         ],
-        ids=["counted from the answer", "restarted box counts", "list from before the win"],
+        ids=[
+            "counted from the answer",
+            "restarted box counts",
+            "restarted box counts, longer lease",
+            "list from before the win",
+        ],
     )
     def test_without_one_rule_an_old_primary_is_used(
         self,
