Wait out a promotion in the story's primary_of

A group's record names no primary while a promotion is under way; a loaded machine delays reports enough for a steward to order one, and the test asked for the primary in between. Change: primary_of waits until the record names a primary, 30 s at most. No assertion changed.

--- a/scripts/story.py
+++ b/scripts/story.py
@@ -20,6 +20,10 @@
 
 KEYS = KeyRing("k1", {"k1": SECRET})
 READY_S = 30.0
+"""Time within which processes must listen and groups have a primary, in seconds: a loaded machine."""
+
+LOOK_AGAIN_S = 0.1
+"""Time between looks, in seconds."""
 
 
 class Story:
@@ -90,7 +94,7 @@
             try:
                 stream = await TcpTransport().connect(address)
             except ExchangeError:
-                await trio.sleep(0.1)
+                await trio.sleep(LOOK_AGAIN_S)
             else:
                 await stream.aclose()
                 return
@@ -142,13 +146,22 @@
                 led = all((row["record"] or {}).get("primary") for row in groups)
                 if led and status["in_force_on"] == len(self.layout["boxes"]):
                     break
-                await trio.sleep(0.1)
+                await trio.sleep(LOOK_AGAIN_S)
         self.check("in force everywhere", True, f"on {status['in_force_on']} boxes")
 
     async def primary_of(self, group: str) -> str:
-        """Return the server that the record says leads ``group``."""
-        _, groups = await self.operate("GET", "/groups")
-        return next(row["record"]["primary"] for row in groups if row["group"]["name"] == group)
+        """Return the server that the record says leads ``group``.
+
+        Waits while a promotion is under way: the record names no primary then, and a
+        loaded machine can make a steward order one at any moment.
+        """
+        with trio.fail_after(READY_S):
+            while True:
+                _, groups = await self.operate("GET", "/groups")
+                row = next(row for row in groups if row["group"]["name"] == group)
+                if row["record"]["primary"]:
+                    return str(row["record"]["primary"])
+                await trio.sleep(LOOK_AGAIN_S)
 
     def kill(self, process: str) -> None:
         """End one process of the deployment the hard way."""
