Send an isolated data centre's callers to the others

Change: a box that can use at most half of the groups' primaries and hears no box of any other data centre is not ready until one answers; after 2.3 s it closes the sessions at rest that it cannot serve. Boxes are asked on connections of their own, as a round may wait 0.4 s for a status.

--- a/scripts/story.py
+++ b/scripts/story.py
@@ -20,7 +20,7 @@
 
 KEYS = KeyRing("k1", {"k1": SECRET})
 READY_S = 30.0
-"""Time within which processes must listen and groups have a primary, in seconds: a loaded machine."""
+"""Time within which processes listen and groups have a primary on a loaded machine, in seconds."""
 
 LOOK_AGAIN_S = 0.1
 """Time between looks, in seconds."""
--- a/wharftiller/daemons/sessions/box_server.py
+++ b/wharftiller/daemons/sessions/box_server.py
@@ -66,6 +66,8 @@
             case ("POST", "/peer/news"):
                 self._state.check_soon.set()
                 return HttpResponse(200, {})
+            case ("POST", "/peer/alive"):
+                return HttpResponse(200, {})
             case ("GET", "/peer/known"):
                 return HttpResponse(200, self._known())
             case (method, path):
--- a/wharftiller/daemons/sessions/boxes.py
+++ b/wharftiller/daemons/sessions/boxes.py
@@ -100,6 +100,7 @@
         self._state = state
         self._transport = transport
         self._clients: dict[str, HttpClient] = {}
+        self._alive_clients: dict[str, HttpClient] = {}
         self.incarnation = incarnation
         self.boxes: dict[str, Box] = {}
         self._replies: dict[str, BoxReply] = {}
@@ -229,7 +230,25 @@
         ExchangeError
             If it does not answer in time.
         """
-        client = self._client(box.address)
+        return await self._post_on(self._client(box.address), box, path, body, timeout_s)
+
+    async def is_alive(self, box: Box, timeout_s: float) -> bool:
+        """Return whether a box answers at once.
+
+        Asked on a connection of its own: a round on the other may wait for a status.
+        """
+        client = self._alive_clients.get(box.address)
+        if client is None:
+            client = self._alive_clients[box.address] = HttpClient(self._transport, box.address)
+        try:
+            await self._post_on(client, box, "/peer/alive", {}, timeout_s)
+        except ExchangeError as error:
+            self._state.log.event("box_did_not_answer", other=box.name, why=str(error))
+            return False
+        return True
+
+    @staticmethod
+    async def _post_on(client: HttpClient, box: Box, path: str, body: Any, timeout_s: float) -> Any:
         answer = await client.request("POST", path, body, timeout_s=timeout_s)
         if answer.status != 200:
             raise ExchangeError(f"{box.name} answered {answer.status} to {path}")
--- a/wharftiller/daemons/sessions/callers.py
+++ b/wharftiller/daemons/sessions/callers.py
@@ -10,6 +10,8 @@
 from wharftiller.core.sessions.session import Session
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from wharftiller.core.sessions.statements import Reply, Statement
     from wharftiller.daemons.sessions.state import SharedState
     from wharftiller.daemons.sessions.statements import StatementRunner
@@ -33,6 +35,7 @@
 
     session: Session
     waiting: trio.CancelScope | None = None
+    sent_away: bool = False
 
 
 class SessionServer:
@@ -78,7 +81,9 @@
         return None
 
     def _must_close(self, served: _Served) -> bool:
-        return self._closing_all or (self._closing_idle and served.session.transaction is None)
+        if self._closing_all:
+            return True
+        return served.session.transaction is None and (self._closing_idle or served.sent_away)
 
     def _rest_until(self, session: Session) -> float:
         """Return until when the session may rest, in seconds."""
@@ -100,6 +105,19 @@
         self._closing_idle = True
         self._cancel_waiting()
 
+    def send_away(self, groups: Collection[str]) -> int:
+        """Close the sessions on ``groups`` that rest outside a transaction; return how many."""
+        routes = self._state.configuration.routes
+        sent = 0
+        for served in self._served:
+            route = routes.get(served.session.database)
+            resting = served.waiting is not None and served.session.transaction is None
+            if resting and route is not None and route.group in groups:
+                served.sent_away = True
+                sent += 1
+        self._cancel_waiting()
+        return sent
+
     def close_all(self) -> None:
         """Close every session at its next rest; open transactions are rolled back."""
         self._closing_all = True
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -14,6 +14,7 @@
 from wharftiller.daemons.sessions.boxes import ROUND_S, Box, BoxDirectory
 from wharftiller.daemons.sessions.callers import SessionServer
 from wharftiller.daemons.sessions.gauges import believed
+from wharftiller.daemons.sessions.isolation import BALANCER_SEES_S, IsolationWatch
 from wharftiller.daemons.sessions.mover import PrimaryMover
 from wharftiller.daemons.sessions.neighbours import Neighbours
 from wharftiller.daemons.sessions.pool import MAINTENANCE_S
@@ -81,9 +82,6 @@
 Less than half of the lease (6 s): several rounds fit in before it runs out.
 """
 
-BALANCER_SEES_S = 2.3
-"""Time until the balancer has taken an unready box out, in seconds: two missed looks, 1 s apart."""
-
 LAST_MOMENT_S = 0.5
 """Time kept before the platform kills a stopping process, in seconds."""
 
@@ -177,6 +175,7 @@
         self._retirement = BoxRetirement(
             self.state, self._directory, shared, self._desk, self._readers, nursery
         )
+        self._isolation = IsolationWatch(self.state, self._directory, self.sessions)
         self._feeds = feeds(self.state, self._missed_change_found)
         self._renewed = False
         self._platform_answers: bool | None = None
@@ -185,7 +184,9 @@
     @property
     def is_ready(self) -> bool:
         """Whether new sessions should come to this box."""
-        return not self._unready and self.state.version > 0 and bool(self.state.rows)
+        if self._unready or self._isolation.is_isolated:
+            return False
+        return self.state.version > 0 and bool(self.state.rows)
 
     def start(self) -> None:
         """Start every task."""
@@ -198,6 +199,7 @@
             self._maintain_for_ever,
             self._prober.run,
             self._mover.run,
+            self._isolation.run,
             self._log.flush_for_ever,
         ):
             self._nursery.start_soon(task)
--- a/wharftiller/tests/platform/test_changes_of_primary.py
+++ b/wharftiller/tests/platform/test_changes_of_primary.py
@@ -70,17 +70,20 @@
             await trio.sleep(20)
             silent = world.boxes["box-3"]
             world.network.cut([silent.ip], ["10.1.0.1", "10.1.0.2", STORE_IP])
-            caller = await world.call(silent, "primary")
             started = trio.current_time()
             acknowledged_at = started
             group.nursery.start_soon(kill_for_the_others, world)  # type: ignore[union-attr]
             while not group.promotions:
+                # A session of its own a write: the silent box closes those at rest in time.
+                caller = await world.call(silent, "primary")
                 if (await caller.ask("WRITE seat1 x"))[0] == "ROW written":
                     acknowledged_at = trio.current_time()
+                caller.close()
                 await trio.sleep(0.05)
             assert trio.current_time() - started > LEASE_S
             assert trio.current_time() > acknowledged_at
             await trio.sleep(2)
+            caller = await world.call(silent, "primary")
             assert (await caller.ask("WRITE seat1 y"))[0] != "ROW written"
 
         async def kill_for_the_others(world: World) -> None:
--- /dev/null
+++ b/wharftiller/tests/platform/test_isolation.py
@@ -0,0 +1,110 @@
+"""A box parted from the rest sends its callers elsewhere, and only such a box."""
+
+from __future__ import annotations
+
+import trio
+
+from standins.object_store import Mood
+from wharftiller.daemons.sessions.isolation import BALANCER_SEES_S
+from wharftiller.tests.platform.world import STORE, World, make_group, run_in_world
+
+STORE_IP = STORE.partition(":")[0]
+
+SEEN_S = 2.2
+"""Time within which a box without callers notices a cut, in seconds.
+
+A primary that nobody asks is probed after 0.8 s, has 0.6 s to answer, and boxes
+elsewhere have 0.35 s; looks add 0.2 to 0.5 s.
+"""
+
+
+def ready_boxes(world: World) -> list[str]:
+    """Return the boxes that tell the balancer that they take sessions."""
+    return sorted(name for name, box in world.boxes.items() if box.process.proxy.is_ready)  # type: ignore[union-attr]
+
+
+def cut_off_data_centre(world: World, number: int) -> None:
+    """Part one data centre's box and servers from the others; the store is elsewhere."""
+    inside = [f"10.1.0.{number + 1}"]
+    inside += [group.servers[number].address.partition(":")[0] for group in world.groups]
+    outside = [box.ip for box in world.boxes.values() if box.ip not in inside]
+    for group in world.groups:
+        ips = [server.address.partition(":")[0] for server in group.servers]
+        outside += [ip for ip in ips if ip not in inside]
+    world.network.cut(inside, [*outside, STORE_IP])
+
+
+class TestIsolation:
+    def test_a_cut_off_data_centre_sends_its_callers_elsewhere_until_it_heals(self) -> None:
+        async def story(world: World) -> None:
+            cut_off_data_centre(world, 2)
+            await trio.sleep(SEEN_S)
+            assert ready_boxes(world) == ["box-1", "box-2"]
+            world.network.heal()
+            await trio.sleep(SEEN_S)
+            assert ready_boxes(world) == ["box-1", "box-2", "box-3"]
+            assert world.boxes["box-3"].events("isolated")
+            assert world.boxes["box-3"].events("isolation_ended")
+
+        run_in_world(story)
+
+    def test_the_side_of_a_cut_that_has_the_primaries_stays_ready(self) -> None:
+        async def story(world: World) -> None:
+            cut_off_data_centre(world, 0)
+            await trio.sleep(SEEN_S)
+            # Box-1 goes on with the primary in its data centre; the others have each other.
+            assert ready_boxes(world) == ["box-1", "box-2", "box-3"]
+
+        run_in_world(story)
+
+    def test_an_isolated_box_goes_on_serving_what_it_can(self) -> None:
+        async def story(world: World) -> None:
+            caller = await world.call(world.boxes["box-3"], "bounded_staleness")
+            desk = await world.call(world.boxes["box-3"], "primary")
+            await desk.ask("READ seat1")
+            cut_off_data_centre(world, 2)
+            await desk.send(b"QUERY id-1 READ seat1\r\n")
+            await trio.sleep(1.1)
+            assert "box-3" not in ready_boxes(world)
+            assert (await caller.ask("READ seat1"))[0] == "ROW none"
+
+        run_in_world(story)
+
+    def test_sessions_at_rest_that_cannot_be_served_are_sent_elsewhere(self) -> None:
+        async def story(world: World) -> None:
+            groups = world.groups
+            here = await world.call(world.boxes["box-3"], "primary", groups[0].name)
+            others = [
+                await world.call(world.boxes["box-3"], "primary", group.name)
+                for group in groups[1:]
+            ]
+            for caller in (here, *others):
+                await caller.ask("READ seat1")
+            cut_off_data_centre(world, 2)
+            await trio.sleep(SEEN_S + BALANCER_SEES_S + 0.2)
+            assert [await caller.line() for caller in others] == [None, None]
+            assert (await here.ask("READ seat1"))[0] == "ROW none"
+
+        led_here = make_group("seats", 2)
+        led_here.servers[0].leads, led_here.servers[2].leads = False, True
+        run_in_world(story, groups=[led_here, make_group("tours", 3), make_group("guides", 4)])
+
+    def test_dark_primaries_alone_isolate_nobody(self) -> None:
+        async def story(world: World) -> None:
+            for group in world.groups:
+                world.kill_server(group.primary)
+            for _ in range(20):
+                await trio.sleep(0.1)
+                assert ready_boxes(world) == ["box-1", "box-2", "box-3"]
+
+        run_in_world(story, groups=[make_group("seats", 2), make_group("tours", 3)])
+
+    def test_an_outage_of_the_platform_isolates_nobody(self) -> None:
+        async def story(world: World) -> None:
+            world.store.mood = Mood.AWAY
+            await world.kill_box(world.boxes["box-3"])
+            for _ in range(100):
+                await trio.sleep(0.1)
+                assert ready_boxes(world) == ["box-1", "box-2"]
+
+        run_in_world(story)
