Give a slow read up only where another endpoint can run it

Ruled out: a longer patience for all (a dark replica must be left soon). Change: from 45% of the time-out on, a read is given up once another endpoint can take it; one task looks at all waiting reads every 50 ms. Conclusion: kept for the case of the test; no gain is claimed.

--- a/wharftiller/daemons/sessions/choice.py
+++ b/wharftiller/daemons/sessions/choice.py
@@ -74,6 +74,16 @@
         )
         return next((row for row in ordered if row.name not in tried), None)
 
+    def another_can_read(self, routed: RoutedStatement, tried: Set[str]) -> bool:
+        """Return whether an endpoint besides those in ``tried`` is likely to run a read now."""
+        state = self._state
+        route = routed.route
+        need = need_of_read(route, routed.session, state.points(route.group), routed.arrived_at)
+        if isinstance(need, AnyReplica) and self._replica(route, need, tried) is not None:
+            return True
+        primary = state.startable(route.group)
+        return primary is not None and primary.name not in tried and state.is_usable(primary)
+
     async def primary(self, routed: RoutedStatement) -> EndpointRow:
         """Return the primary, waiting a little for one while it is being replaced.
 
--- /dev/null
+++ b/wharftiller/daemons/sessions/patience.py
@@ -0,0 +1,66 @@
+"""Give up a read that takes long, but only while another endpoint could run it.
+
+A slow endpoint still works on a read that its box gave up. Where no other can take the
+read, giving up only adds work and a new connection, so it is left to end.
+"""
+
+from __future__ import annotations
+
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+LOOK_S = 0.05
+"""Time between looks at reads that take long, in seconds: well below any route's time-out."""
+
+
+@attrs.frozen(eq=False)
+class _Waiting:
+    """A read that waits for an endpoint's answer.
+
+    Attributes
+    ----------
+    patient_until : float
+        From when on it is given up if another endpoint can run it, in seconds.
+    """
+
+    scope: trio.CancelScope
+    patient_until: float
+    another_can: Callable[[], bool]
+
+
+class ReadPatience:
+    """Watches the reads of one box that wait for an endpoint's answer."""
+
+    def __init__(self) -> None:
+        self._waiting: set[_Waiting] = set()
+
+    @contextmanager
+    def limit(
+        self, until: float, patient_until: float, another_can: Callable[[], bool]
+    ) -> Iterator[None]:
+        """Cancel what runs inside at ``until``, or from ``patient_until`` if ``another_can``.
+
+        Both are in seconds. What was cancelled ends without an error.
+        """
+        with trio.CancelScope(deadline=until) as scope:
+            waiting = _Waiting(scope, patient_until, another_can)
+            self._waiting.add(waiting)
+            try:
+                yield
+            finally:
+                self._waiting.discard(waiting)
+
+    async def run(self) -> None:
+        """Look for ever."""
+        while True:
+            await trio.sleep(LOOK_S)
+            now = trio.current_time()
+            for waiting in list(self._waiting):
+                if now >= waiting.patient_until and waiting.another_can():
+                    waiting.scope.cancel()
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -146,7 +146,8 @@
             identity.name, identity.address, identity.relay, incarnation, identity.data_centre
         )
         self.state = SharedState(identity.name, identity.data_centre, dialer, log, nursery)
-        self.sessions = SessionServer(self.state, StatementRunner(self.state))
+        self._runner = StatementRunner(self.state)
+        self.sessions = SessionServer(self.state, self._runner)
         self._directory = BoxDirectory(self.state, transport, incarnation)
         self._desk = ReaderDesk(self.state, incarnation)
         self._readers = ReaderClient(self.state, self._directory, self._box, self.take_listing)
@@ -200,6 +201,7 @@
             self._prober.run,
             self._mover.run,
             self._isolation.run,
+            self._runner.patience.run,
             self._log.flush_for_ever,
         ):
             self._nursery.start_soon(task)
--- a/wharftiller/daemons/sessions/singles.py
+++ b/wharftiller/daemons/sessions/singles.py
@@ -21,26 +21,32 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Set
+
     from wharftiller.core.positions import LogPosition
     from wharftiller.core.sessions.endpoints import EndpointRow
     from wharftiller.core.sessions.routes import Route
     from wharftiller.core.sessions.session import Session
     from wharftiller.core.sessions.statements import Statement
     from wharftiller.daemons.sessions.choice import EndpointChooser
+    from wharftiller.daemons.sessions.patience import ReadPatience
     from wharftiller.daemons.sessions.pool import PooledConnection
     from wharftiller.daemons.sessions.routed import RoutedStatement
     from wharftiller.daemons.sessions.state import SharedState
 
 READ_PATIENCE = 0.45
-"""Part of a read's time-out after which a silent endpoint is given up for another."""
+"""Part of a read's time-out after which a silent endpoint is given up for another that can."""
 
 
 class SingleRunner:
     """Runs the single statements of every session of this box."""
 
-    def __init__(self, state: SharedState, chooser: EndpointChooser) -> None:
+    def __init__(
+        self, state: SharedState, chooser: EndpointChooser, patience: ReadPatience
+    ) -> None:
         self._state = state
         self._chooser = chooser
+        self._patience = patience
 
     async def run(
         self, session: Session, route: Route, statement: Statement, arrived_at: float
@@ -125,7 +131,7 @@
                     raise StatementRefusedError(RefusalKind.ROLLED_BACK, error.detail) from error
                 raise
             tried.add(row.name)
-            reply = await self._read_once(routed, row, after)
+            reply = await self._read_once(routed, row, after, tried)
             if reply is None:
                 may_have_run = True
                 continue
@@ -147,14 +153,22 @@
         raise StatementRefusedError(RefusalKind.NO_CAPACITY, come_back(detail))
 
     async def _read_once(
-        self, routed: RoutedStatement, row: EndpointRow, after: LogPosition | None
+        self,
+        routed: RoutedStatement,
+        row: EndpointRow,
+        after: LogPosition | None,
+        tried: Set[str],
     ) -> Reply | None:
         """Return the endpoint's answer, or None if none came while another may still be asked."""
-        until = min(routed.until, trio.current_time() + READ_PATIENCE * routed.route.timeout_s)
+        patient_until = trio.current_time() + READ_PATIENCE * routed.route.timeout_s
+
+        def another_can() -> bool:
+            return self._chooser.another_can_read(routed, tried)
+
         connection: PooledConnection | None = None
         state = SessionState.IDLE
         try:
-            with trio.move_on_at(until):
+            with self._patience.limit(routed.until, patient_until, another_can):
                 connection = await self._chooser.connect(routed, row)
                 await connection.take_on(routed.session, routed.needed)
                 asked_at = trio.current_time()
--- a/wharftiller/daemons/sessions/statements.py
+++ b/wharftiller/daemons/sessions/statements.py
@@ -19,6 +19,7 @@
 )
 from wharftiller.daemons.sessions.choice import EndpointChooser
 from wharftiller.daemons.sessions.notes import note_answer
+from wharftiller.daemons.sessions.patience import ReadPatience
 from wharftiller.daemons.sessions.singles import SingleRunner
 from wharftiller.daemons.sessions.transactions import TransactionRunner
 
@@ -35,7 +36,8 @@
     def __init__(self, state: SharedState) -> None:
         self._state = state
         chooser = EndpointChooser(state)
-        self._singles = SingleRunner(state, chooser)
+        self.patience = ReadPatience()
+        self._singles = SingleRunner(state, chooser, self.patience)
         self._transactions = TransactionRunner(state, chooser)
 
     async def run(self, session: Session, statement: Statement, arrived_at: float) -> Reply:
--- a/wharftiller/tests/platform/test_whole_path.py
+++ b/wharftiller/tests/platform/test_whole_path.py
@@ -158,6 +158,39 @@
 
         run_in_world(story, groups=[make_group(lag_s=0.2)])
 
+    def test_a_slow_read_is_left_to_end_where_no_other_endpoint_can_run_it(self) -> None:
+        async def story(world: World) -> None:
+            group = world.groups[0]
+            desk = await world.call(world.boxes["box-1"], "primary")
+            reader = await world.call(world.boxes["box-1"], "bounded_staleness")
+            group.servers[1].leaving = True
+            world.register(group.servers[1])
+            await desk.ask("READ seat1")
+            await trio.sleep(0.1)
+            world.kill_server(group.primary)
+            group.work_s = 0.5
+            await desk.send(b"QUERY id-1 READ seat1\r\n")
+            await trio.sleep(0.5)
+            assert (await reader.ask("READ seat1", "id-2"))[0] == "ROW none"
+            assert group.servers[2].started.count("id-2") == 1
+
+        run_in_world(story)
+
+    def test_a_slow_read_is_given_up_for_another_endpoint(self) -> None:
+        async def story(world: World) -> None:
+            group = world.groups[0]
+            reader = await world.call(world.boxes["box-1"], "bounded_staleness")
+            for _ in range(3):
+                await reader.ask("READ seat1")
+            first = next(each for each in group.servers[1:] if each.started)
+            others = [box.ip for box in world.boxes.values()]
+            world.network.cut([first.address.partition(":")[0]], others)
+            started = trio.current_time()
+            assert (await reader.ask("READ seat1"))[0] == "ROW none"
+            assert trio.current_time() - started < 0.5
+
+        run_in_world(story)
+
     def test_a_read_only_transaction_runs_on_one_replica(self) -> None:
         async def story(world: World) -> None:
             caller = await world.call(world.boxes["box-1"], "bounded_staleness")
