Ask a silent endpoint's state on a kept connection first

Ruled out: not closing them at all: after an endpoint's restart kept connections are broken. Change: the probe uses a kept connection; only if that fails are the idle ones closed and a new one asked. Conclusion: kept for the case of the test; no gain is claimed.

--- a/wharftiller/daemons/sessions/pool.py
+++ b/wharftiller/daemons/sessions/pool.py
@@ -163,6 +163,11 @@
         """Statements and transactions on it, and those that wait for a connection."""
         return len(self._all) - len(self._idle) + self._opening + len(self._waiters)
 
+    @property
+    def has_idle(self) -> bool:
+        """Whether a connection is open that nobody uses."""
+        return bool(self._idle)
+
     @property
     def total(self) -> int:
         """Connections open or opening."""
--- a/wharftiller/daemons/sessions/probes.py
+++ b/wharftiller/daemons/sessions/probes.py
@@ -147,22 +147,34 @@
         """
         started = trio.current_time()
         pool = self._state.pool(row)
-        if row.is_suspect(started):
-            pool.drop_idle()
+        kept = pool.has_idle
         with trio.move_on_after(STATUS_TIMEOUT_S):
-            connection = await pool.acquire(PROBE_SESSION, PROBE_PRIORITY)
             try:
-                status = await connection.link.status()
-            except BaseException:
-                connection.close()
-                row.failed(started)
-                raise
-            connection.release()
+                status = await self._ask(row)
+            except ExchangeError:
+                if not kept:
+                    raise
+                # Kept connections may have broken while the endpoint was away; a new one tells.
+                pool.drop_idle()
+                status = await self._ask(row)
             row.heard(trio.current_time())
             return status
         row.failed(started)
+        pool.drop_idle()
         raise ExchangeError(f"{row.name} told no state within {STATUS_TIMEOUT_S} s")
 
+    async def _ask(self, row: EndpointRow) -> EndpointStatus | None:
+        started = trio.current_time()
+        connection = await self._state.pool(row).acquire(PROBE_SESSION, PROBE_PRIORITY)
+        try:
+            status = await connection.link.status()
+        except BaseException:
+            connection.close()
+            row.failed(started)
+            raise
+        connection.release()
+        return status
+
     def demote_soon(self, endpoint: str, term: int) -> None:
         """Tell a former primary that another leads, if it can be reached."""
         self._nursery.start_soon(self._demote, endpoint, term)
--- a/wharftiller/tests/platform/test_whole_path.py
+++ b/wharftiller/tests/platform/test_whole_path.py
@@ -206,6 +206,21 @@
 
 
 class TestConnections:
+    def test_an_endpoint_that_is_only_slow_keeps_its_connections(self) -> None:
+        async def story(world: World) -> None:
+            group = world.groups[0]
+            box = world.boxes["box-1"]
+            callers = [await world.call(box, "primary") for _ in range(3)]
+            async with trio.open_nursery() as nursery:
+                for caller in callers:
+                    nursery.start_soon(caller.ask, "READ seat1")
+            opened = group.primary.opened
+            group.work_s = 0.7
+            assert (await callers[0].ask("READ seat1"))[0] == "ROW none"
+            assert group.primary.opened == opened
+
+        run_in_world(story)
+
     def test_connections_stay_within_the_servers_limit(self) -> None:
         async def story(world: World) -> None:
             group = world.groups[0]
