Order unplanned promotions sooner: ask at once what was asked in turn

Ruled out: a shorter silence before a primary counts as lost (1.2 s): every such promotion throws away what no replica has received. Change: boxes and replicas are asked at once; a box that has found the primary silent for 0.6 s answers without asking it again; the old primary is asked while boxes give their word, and once more only if that took over 1 s; what replicas told within the last second stands.

--- a/wharftiller/daemons/sessions/mover.py
+++ b/wharftiller/daemons/sessions/mover.py
@@ -26,6 +26,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from wharftiller.core.leadership.moves import Candidate
     from wharftiller.core.leadership.record import LeadershipRecord
     from wharftiller.core.sessions.endpoints import EndpointRow
     from wharftiller.daemons.sessions.box_server import BoxServer
@@ -55,6 +56,18 @@
 A hundred round trips between data centres; every change of a dark primary pays it.
 """
 
+CANDIDATES_FRESH_S = 1.0
+"""Age up to which what replicas told of themselves still stands, in seconds.
+
+It was told after the primary had been silent for longer than replicas lag (0.36 s at most).
+"""
+
+LAST_WORD_FRESH_S = 1.0
+"""Age beyond which a lost primary is asked once more before anything is ordered, in seconds.
+
+Where every box gives its word at once, the question asked meanwhile is enough.
+"""
+
 RECORD_TRIES = 5
 """Times a finished change is offered to the platform before the next look does it again."""
 
@@ -169,18 +182,13 @@
         row = self._state.rows.get(leading.endpoint)
         turn = self._turn(group)
         planned = row is not None and must_leave(row, turn, now)
-        if not planned and not is_lost(row, turn, now):
-            return None
-        if not planned and await self._is_heard_elsewhere(leading.endpoint):
-            return None
-        all_answer = self._directory.boxes.keys() <= self._directory.replies.keys()
-        if not planned and not is_lost(row, turn, now, all_answer=all_answer):
+        if planned:
+            best = best_candidate(await self._successors.candidates(group, leading.endpoint))
+        elif is_lost(row, turn, now):
+            best = await self._successor_of_lost(group, leading.endpoint, turn)
+        else:
             return None
-        best = best_candidate(await self._successors.candidates(group, leading.endpoint))
         if best is None:
-            self._state.log.event("no_successor", group=group, old=leading.endpoint)
-            return None
-        if not planned and not is_lost(row, turn, trio.current_time(), all_answer=all_answer):
             return None
         self._state.log.change(
             "change_of_primary_starts",
@@ -192,6 +200,29 @@
         )
         return Moving(leading, best.name, planned)
 
+    async def _successor_of_lost(self, group: str, old: str, turn: int) -> Candidate | None:
+        """Return who takes over from a primary that no box hears; None if one does.
+
+        The other boxes and the replicas are asked at once: each may take half a second.
+        """
+        heard = False
+
+        async def ask_boxes() -> None:
+            nonlocal heard
+            heard = await self._is_heard_elsewhere(old)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_boxes)
+            candidates = await self._successors.candidates(group, old)
+        row = self._state.rows.get(old)
+        all_answer = self._directory.boxes.keys() <= self._directory.replies.keys()
+        if heard or not is_lost(row, turn, trio.current_time(), all_answer=all_answer):
+            return None
+        best = best_candidate(candidates)
+        if best is None:
+            self._state.log.event("no_successor", group=group, old=old)
+        return best
+
     def _turn(self, what: str) -> int:
         """Return how many boxes go before this one; those far back go together."""
         return min(MOST_TURNS, turn_of(self._state.box, self._directory.live(), what))
@@ -226,20 +257,28 @@
     async def _stop_and_mark(self, record: LeadershipRecord) -> bool:
         """Have every box stop, then mark the changes as ordered; return whether they are."""
         _, won_at = self._writer.won(record)
-        if await self._called_off(record, await self._lost_that_answer(record)):
-            return False
-        answering = await self._stopper.everyone_stopped(record, won_at)
-        if not answering:
-            answering = await self._lost_that_answer(record)
+        answering: set[str] = set()
+        asked_at = trio.current_time()
+
+        async def ask_lost(scope: trio.CancelScope) -> None:
+            answering.update(await self._lost_that_answer(record))
+            if answering:
+                scope.cancel()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_lost, nursery.cancel_scope)
+            answering.update(await self._stopper.everyone_stopped(record, won_at))
+        if not answering and trio.current_time() - asked_at > LAST_WORD_FRESH_S:
+            answering.update(await self._lost_that_answer(record))
         if await self._called_off(record, answering):
             return False
         return await self._writer.write(await self._ready_to_order(record))
 
-    async def _called_off(self, record: LeadershipRecord, answering: list[str]) -> bool:
+    async def _called_off(self, record: LeadershipRecord, answering: set[str]) -> bool:
         """Let the primaries of the groups ``answering`` go on leading, if there are any."""
         if not answering:
             return False
-        for group in answering:
+        for group in sorted(answering):
             record = record.with_group(group, record.moving[group].old)
         await self._writer.write(record)
         await self._directory.tell_record(self._state.leases.record)
@@ -267,7 +306,8 @@
         for group, moving in record.moving.items():
             if moving.planned:
                 await self._successors.wait_caught_up(moving)
-            best = await self._successors.best(group, moving)
+            fresh_s = 0.0 if moving.planned else CANDIDATES_FRESH_S
+            best = await self._successors.best(group, moving, fresh_s)
             ordered = attrs.evolve(moving, successor=best, ordered=True)
             record = record.with_group(group, ordered)
         return record
--- a/wharftiller/daemons/sessions/probes.py
+++ b/wharftiller/daemons/sessions/probes.py
@@ -81,12 +81,19 @@
         return now - max(row.heard_at, told_at) > QUIET_PRIMARY_S
 
     async def check(self, names: list[str]) -> None:
-        """Ask those of the endpoints that were not heard lately, for another box."""
+        """Ask those of the endpoints that were not heard lately, for another box.
+
+        One that this box has found silent for a while is being asked all the time: the
+        other box need not wait for one more question to it.
+        """
         now = trio.current_time()
         async with trio.open_nursery() as nursery:
             for name in names:
                 row = self._state.rows.get(name)
-                if row is not None and now - row.heard_at > HEARD_RECENT_S / 2:
+                if row is None or now - row.heard_at <= HEARD_RECENT_S / 2:
+                    continue
+                since = row.unreachable_since
+                if since is None or now - since < STATUS_TIMEOUT_S:
                     nursery.start_soon(self._check, row)
 
     async def _check(self, row: EndpointRow) -> None:
--- a/wharftiller/daemons/sessions/successors.py
+++ b/wharftiller/daemons/sessions/successors.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import trio
@@ -32,9 +33,21 @@
     def __init__(self, state: SharedState, prober: Prober) -> None:
         self._state = state
         self._prober = prober
+        self._told: dict[str, tuple[float, list[Candidate]]] = {}
+
+    async def candidates(
+        self, group: str, old: str, no_older_than_s: float = 0.0
+    ) -> list[Candidate]:
+        """Return what the group's replicas have received, asked for lately or now."""
+        asked_at, told = self._told.get(group, (-math.inf, []))
+        if trio.current_time() - asked_at < no_older_than_s:
+            return told
+        asked_at = trio.current_time()
+        found = await self._ask_replicas(group, old)
+        self._told[group] = (asked_at, found)
+        return found
 
-    async def candidates(self, group: str, old: str) -> list[Candidate]:
-        """Ask the group's replicas for what they have received."""
+    async def _ask_replicas(self, group: str, old: str) -> list[Candidate]:
         found: list[Candidate] = []
 
         async def ask(row: EndpointRow) -> None:
@@ -70,9 +83,9 @@
                 await trio.sleep(LEADS_LOOK_S)
         self._state.log.event("successor_behind", endpoint=moving.successor)
 
-    async def best(self, group: str, moving: Moving) -> str:
+    async def best(self, group: str, moving: Moving, no_older_than_s: float = 0.0) -> str:
         """Return the endpoint that has received most, the recorded one if it has."""
-        candidates = await self.candidates(group, moving.old.endpoint)
+        candidates = await self.candidates(group, moving.old.endpoint, no_older_than_s)
         best = best_candidate(candidates)
         named = next((each for each in candidates if each.name == moving.successor), None)
         if best is None or (named is not None and named.received >= best.received):
--- a/wharftiller/tests/platform/test_changes_of_primary.py
+++ b/wharftiller/tests/platform/test_changes_of_primary.py
@@ -7,6 +7,8 @@
 
 from standins.object_store import Mood
 from wharftiller.core.leadership.lease import LEASE_S
+from wharftiller.core.leadership.moves import UNREACHABLE_S
+from wharftiller.daemons.sessions.probes import PROBE_S, QUIET_PRIMARY_S
 from wharftiller.tests.platform.world import STORE, Caller, World, run_in_world
 
 STORE_IP = STORE.partition(":")[0]
@@ -42,6 +44,19 @@
 
         run_in_world(story)
 
+    def test_a_promotion_is_ordered_soon_after_the_primary_counts_as_lost(self) -> None:
+        async def story(world: World) -> None:
+            group = world.groups[0]
+            world.kill_server(group.primary)
+            killed_at = trio.current_time()
+            while not group.promotions:
+                await trio.sleep(0.01)
+            # Nobody asks it here: 0.8 s until a probe is due and 0.3 s between looks.
+            asked_at = killed_at + QUIET_PRIMARY_S + PROBE_S
+            assert trio.current_time() - asked_at < UNREACHABLE_S + 0.3
+
+        run_in_world(story, boxes=8)
+
     def test_a_primary_that_another_box_hears_is_not_replaced(self) -> None:
         async def story(world: World) -> None:
             group = world.groups[0]
