Where connections are scarce, a few home boxes run the statements of all

Cause: the grown Sofia has 71 boxes and 53 connections to an endpoint. Ruled out: one connection a box (71 > 53); passing sessions through as bytes (a home's end would end sessions); homes kept in the store (the list of boxes is enough). Change: a group has homes in each data centre, by rendezvous hashing over the boxes listed, as many as leave each home a useful share. Other boxes keep sessions and pass each statement on over HTTP with all that decides how it runs. Transactions stay at their home. A home that owes answers and does not live is passed over; reads go on, writes end as unknown. A stopping home says so first. Only homes probe and replace their groups' primaries. Deployments with two connections a box or more do not change.

--- a/wharftiller/core/sessions/figures.py
+++ b/wharftiller/core/sessions/figures.py
@@ -62,6 +62,7 @@
         factory=lambda: collections.defaultdict(LatencyHistogram)
     )
     statements: collections.Counter[tuple[str, str]] = attrs.field(factory=collections.Counter)
+    forwarded: collections.Counter[tuple[str, str]] = attrs.field(factory=collections.Counter)
     events: collections.Counter[str] = attrs.field(factory=collections.Counter)
 
     def answered(self, labels: AnswerLabels, took_s: float) -> None:
--- /dev/null
+++ b/wharftiller/core/sessions/homes.py
@@ -0,0 +1,61 @@
+"""Which boxes keep connections to a group's endpoints where there are too few for all boxes.
+
+Every box serves callers of every group. Where an endpoint's connections would leave a
+box less than `LEAST_SHARE`, only a few boxes of each data centre, the group's homes, keep
+connections; the others pass their statements to a home in their own data centre.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from wharftiller.core.rendezvous import ranked
+from wharftiller.core.sessions.shares import SET_ASIDE, connection_share
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+LEAST_SHARE = 2
+"""Connections to one endpoint with which a box still serves by itself.
+
+One for a transaction and one for single statements beside it.
+"""
+
+HOME_SHARE = 8
+"""Connections to one endpoint that a home should have.
+
+More than twice an endpoint's slots (3 to 5): transactions hold some of them between statements.
+"""
+
+
+@attrs.frozen
+class HomePlan:
+    """How a group's connections are dealt out.
+
+    Attributes
+    ----------
+    homes : int or None
+        Homes in each data centre; None if every box connects by itself.
+    share : int
+        Connections to one endpoint that a box which connects may keep.
+    """
+
+    homes: int | None
+    share: int
+
+
+def plan_homes(max_connections: int, boxes: int, data_centres: int) -> HomePlan:
+    """Return how ``boxes`` boxes in all share an endpoint's ``max_connections``."""
+    share = connection_share(max_connections, boxes)
+    if share >= LEAST_SHARE or boxes <= data_centres:
+        return HomePlan(None, share)
+    homes = max(1, (max_connections - SET_ASIDE) // HOME_SHARE // max(1, data_centres))
+    return HomePlan(homes, connection_share(max_connections, homes * max(1, data_centres)))
+
+
+def homes_of(group: str, names: Iterable[str], plan: HomePlan) -> list[str]:
+    """Return the homes of ``group`` among the boxes ``names`` of one data centre."""
+    order = ranked(group, names)
+    return order if plan.homes is None else order[: plan.homes]
--- a/wharftiller/core/sessions/session.py
+++ b/wharftiller/core/sessions/session.py
@@ -11,6 +11,22 @@
 from wharftiller.core.sessions.statements import PreparedStatement, SessionState
 
 
+@attrs.frozen
+class RemoteTransaction:
+    """A transaction that another box runs.
+
+    Attributes
+    ----------
+    box : str
+        The box's name.
+    identity : str
+        What that box knows the transaction by.
+    """
+
+    box: str
+    identity: str
+
+
 @attrs.define
 class OpenTransaction:
     """A transaction; ``connection`` is None until its first statement needs one.
@@ -23,6 +39,8 @@
         Whether a write was sent on it.
     counted : bool
         Whether a planned change of primary waits for its end.
+    remote : RemoteTransaction or None
+        Where it runs if another box runs it.
     """
 
     route: Route
@@ -33,6 +51,7 @@
     wrote: bool = False
     counted: bool = False
     failed: bool = False
+    remote: RemoteTransaction | None = None
 
 
 @attrs.define
--- a/wharftiller/daemons/sessions/box_server.py
+++ b/wharftiller/daemons/sessions/box_server.py
@@ -16,12 +16,17 @@
 
     from wharftiller.core.leadership.record import LeadershipRecord
     from wharftiller.daemons.sessions.boxes import BoxDirectory
+    from wharftiller.daemons.sessions.forwarded import ForwardedDesk
+    from wharftiller.daemons.sessions.forwarding import Forwarder
     from wharftiller.daemons.sessions.readers import ReaderDesk
     from wharftiller.daemons.sessions.state import SharedState
 
 QUIET_WAIT_S = 1.0
 """Time for which writes under way may end before a planned change, in seconds."""
 
+LEAVING_S = 8.0
+"""Time for which nothing is passed to a box that is stopping, in seconds: its grace and a start."""
+
 NEVER_READ_S = 3600.0
 """Age told of a read that never was, in seconds."""
 
@@ -44,12 +49,16 @@
         desk: ReaderDesk,
         known: Callable[[], dict[str, Any]],
         check: Callable[[list[str]], Awaitable[None]],
+        desk_for_others: ForwardedDesk,
+        forwarder: Forwarder,
     ) -> None:
         self._state = state
         self._directory = directory
         self._desk = desk
         self._known = known
         self._check = check
+        self._desk_for_others = desk_for_others
+        self._forwarder = forwarder
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one question."""
@@ -68,6 +77,13 @@
                 return HttpResponse(200, {})
             case ("POST", "/peer/alive"):
                 return HttpResponse(200, {})
+            case ("POST", "/peer/run"):
+                return HttpResponse(200, await self._desk_for_others.run(request.json()))
+            case ("POST", "/peer/end"):
+                return HttpResponse(200, self._desk_for_others.end(request.json()))
+            case ("POST", "/peer/leaving"):
+                await self._leaving(request.json())
+                return HttpResponse(200, {})
             case ("GET", "/peer/known"):
                 return HttpResponse(200, self._known())
             case (method, path):
@@ -95,6 +111,12 @@
             "hears": self._heard(),
         }
 
+    async def _leaving(self, value: Any) -> None:
+        """Pass nothing new to a box that is stopping."""
+        if not isinstance(value, dict) or not isinstance(value.get("box"), str):
+            raise BadRequestError("a leaving box names itself; run one version")
+        await self._forwarder.leave(value["box"], LEAVING_S)
+
     def _read_age_ms(self) -> int:
         age_s = min(trio.current_time() - self._directory.platform_read_at, NEVER_READ_S)
         return int(age_s * 1000) + 1
--- a/wharftiller/daemons/sessions/boxes.py
+++ b/wharftiller/daemons/sessions/boxes.py
@@ -96,12 +96,13 @@
         When the newest read that any box made and was answered was asked for.
     """
 
-    def __init__(self, state: SharedState, transport: Transport, incarnation: str) -> None:
+    def __init__(self, state: SharedState, transport: Transport, box: Box) -> None:
         self._state = state
         self._transport = transport
         self._clients: dict[str, HttpClient] = {}
         self._alive_clients: dict[str, HttpClient] = {}
-        self.incarnation = incarnation
+        self._box = box
+        self.incarnation = box.incarnation
         self.boxes: dict[str, Box] = {}
         self._replies: dict[str, BoxReply] = {}
         self.listed_since: float | None = None
@@ -208,6 +209,10 @@
             return list(self.replies)
         return [name for name, box in self.boxes.items() if not box.retired]
 
+    def told_boxes(self) -> list[dict[str, str]]:
+        """Return all boxes known, this one included, as JSON."""
+        return [attrs.asdict(box) for box in (self._box, *self.boxes.values())]
+
     def relay_to(self, endpoint: str) -> str | None:
         """Return where a box listens that hears ``endpoint``, the nearest first."""
         hearing = [n for n, reply in self.replies.items() if endpoint in reply.hears]
@@ -292,7 +297,12 @@
         """Have every other box look for a newer configuration or list of endpoints."""
         await self._tell("/peer/news", {})
 
-    async def _tell(self, path: str, body: Any) -> None:
+    async def tell_leaving(self) -> None:
+        """Tell the boxes of this data centre that this one is stopping."""
+        near = [box for name, box in self.boxes.items() if self._is_near(name)]
+        await self._tell("/peer/leaving", {"box": self._state.box}, near)
+
+    async def _tell(self, path: str, body: Any, boxes: list[Box] | None = None) -> None:
         async def tell(box: Box) -> None:
             try:
                 await self.post(box, path, body, ROUND_TIMEOUT_S)
@@ -300,7 +310,7 @@
                 self._state.log.event("box_not_told", other=box.name, what=path, why=str(error))
 
         async with trio.open_nursery() as nursery:
-            for box in self.boxes.values():
+            for box in list(self.boxes.values()) if boxes is None else boxes:
                 nursery.start_soon(tell, box)
 
     async def fetch_known(self, address: str) -> dict[str, Any] | None:
--- a/wharftiller/daemons/sessions/isolation.py
+++ b/wharftiller/daemons/sessions/isolation.py
@@ -95,6 +95,10 @@
         now = trio.current_time()
         unusable = []
         for group in self._state.leases.record.groups:
+            if not self._state.serves_group(group):
+                if not self._state.told_usable.get(group, True):
+                    unusable.append(group)
+                continue
             row = self._state.startable(group)
             if row is None or row.is_suspect(now):
                 unusable.append(group)
--- a/wharftiller/daemons/sessions/mover.py
+++ b/wharftiller/daemons/sessions/mover.py
@@ -31,6 +31,7 @@
     from wharftiller.core.sessions.endpoints import EndpointRow
     from wharftiller.daemons.sessions.box_server import BoxServer
     from wharftiller.daemons.sessions.boxes import BoxDirectory
+    from wharftiller.daemons.sessions.homes import Homes
     from wharftiller.daemons.sessions.probes import Prober
     from wharftiller.daemons.sessions.seams import Promotions, SharedListing, SharedObjects
     from wharftiller.daemons.sessions.state import SharedState
@@ -101,12 +102,14 @@
         promotions: Promotions,
         prober: Prober,
         incarnation: str,
+        homes: Homes,
         take_listing: Callable[[SharedListing, float], bool],
     ) -> None:
         self._state = state
         self._directory = directory
         self._promotions = promotions
         self._prober = prober
+        self._homes = homes
         self._writer = RecordWriter(state, store, incarnation)
         self._successors = Successors(state, prober)
         self._stopper = BoxStopper(state, directory, server, store, take_listing)
@@ -169,7 +172,7 @@
         """
         changed = self._writer.as_holder(record)
         for group, leading in record.groups.items():
-            if isinstance(leading, Leading):
+            if isinstance(leading, Leading) and self._state.serves_group(group):
                 moving = await self._change_needed(group, leading)
                 if moving is not None:
                     changed = changed.with_group(group, moving)
@@ -225,7 +228,10 @@
 
     def _turn(self, what: str) -> int:
         """Return how many boxes go before this one; those far back go together."""
-        return min(MOST_TURNS, turn_of(self._state.box, self._directory.live(), what))
+        boxes = self._homes.all_homes(what) if what in self._state.leases.record.groups else None
+        if boxes is None:
+            boxes = self._directory.live()
+        return min(MOST_TURNS, turn_of(self._state.box, boxes, what))
 
     async def _is_heard_elsewhere(self, endpoint: str) -> bool:
         await self._directory.round(check=(endpoint,))
--- a/wharftiller/daemons/sessions/neighbours.py
+++ b/wharftiller/daemons/sessions/neighbours.py
@@ -8,6 +8,7 @@
 import trio
 
 from wharftiller.core.sessions.routes import EndpointEntry
+from wharftiller.daemons.sessions.boxes import Box
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -52,6 +53,7 @@
             "configuration": self._state.configuration.document,
             "endpoints_revision": self._state.endpoints_revision,
             "endpoints": [attrs.asdict(row.entry) for row in rows if not row.gone],
+            "boxes": self._directory.told_boxes(),
         }
 
     async def learn_at_start(self) -> None:
@@ -71,11 +73,14 @@
             configuration = self._decode_configuration(known["configuration"])
             entries = [EndpointEntry(**each) for each in known["endpoints"]]
             revision = int(known["endpoints_revision"])
+            boxes = [Box(**each) for each in known["boxes"]]
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             self._state.log.event("neighbour_not_understood", other=address, why=repr(error))
             return
         self._state.take_configuration(configuration, f"box {address}")
         self._state.take_endpoints(entries, revision)
+        if not self._directory.boxes:
+            self._directory.take_list({b.name: b for b in boxes if b.name != self._state.box})
 
     def learn_newer(self) -> None:
         """Fetch configuration and endpoints from a box that knows newer ones."""
--- a/wharftiller/daemons/sessions/notes.py
+++ b/wharftiller/daemons/sessions/notes.py
@@ -33,6 +33,15 @@
     state.log.answered(session, statement, reply, took_s, lambda: _believed(state, route))
 
 
+def note_run_for_box(
+    state: SharedState, session: Session, statement: Statement, reply: Reply, arrived_at: float
+) -> None:
+    """Log how a statement ended that was run for another box, which counts the answer."""
+    took_s = trio.current_time() - arrived_at
+    route = state.configuration.routes.get(session.database)
+    state.log.answered(session, statement, reply, took_s, lambda: _believed(state, route))
+
+
 def _believed(state: SharedState, route: Route | None) -> dict[str, Any]:
     """Return what decides a statement's outcome on ``route``, with ages and versions."""
     if route is None:
--- a/wharftiller/daemons/sessions/probes.py
+++ b/wharftiller/daemons/sessions/probes.py
@@ -66,6 +66,9 @@
             for row in list(self._state.rows.values()):
                 if (row.gone and row.name not in leads) or row.name in self._probing:
                     continue
+                if not self._state.serves_group(row.entry.group):
+                    # Its homes look after it; connections to it are few.
+                    continue
                 quiet_lead = row.name in leads and self._is_quiet(row, now)
                 if row.is_suspect(now) or quiet_lead:
                     self._probing.add(row.name)
@@ -92,6 +95,8 @@
                 row = self._state.rows.get(name)
                 if row is None or now - row.heard_at <= HEARD_RECENT_S / 2:
                     continue
+                if not self._state.serves_group(row.entry.group):
+                    continue
                 since = row.unreachable_since
                 if since is None or now - since < STATUS_TIMEOUT_S:
                     nursery.start_soon(self._check, row)
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -13,7 +13,10 @@
 from wharftiller.daemons.sessions.box_server import BoxServer
 from wharftiller.daemons.sessions.boxes import ROUND_S, Box, BoxDirectory
 from wharftiller.daemons.sessions.callers import SessionServer
+from wharftiller.daemons.sessions.forwarded import ForwardedDesk
+from wharftiller.daemons.sessions.forwarding import Forwarder
 from wharftiller.daemons.sessions.gauges import believed
+from wharftiller.daemons.sessions.homes import Homes
 from wharftiller.daemons.sessions.isolation import BALANCER_SEES_S, IsolationWatch
 from wharftiller.daemons.sessions.mover import PrimaryMover
 from wharftiller.daemons.sessions.neighbours import Neighbours
@@ -146,9 +149,12 @@
             identity.name, identity.address, identity.relay, incarnation, identity.data_centre
         )
         self.state = SharedState(identity.name, identity.data_centre, dialer, log, nursery)
-        self._runner = StatementRunner(self.state)
+        self._directory = BoxDirectory(self.state, transport, self._box)
+        self._homes = Homes(self.state, self._directory)
+        self._forwarder = Forwarder(self.state, self._homes, self._directory, transport, nursery)
+        self._runner = StatementRunner(self.state, self._forwarder)
         self.sessions = SessionServer(self.state, self._runner)
-        self._directory = BoxDirectory(self.state, transport, incarnation)
+        self._for_others = ForwardedDesk(self.state)
         self._desk = ReaderDesk(self.state, incarnation)
         self._readers = ReaderClient(self.state, self._directory, self._box, self.take_listing)
         self._prober = Prober(self.state, self._directory, dialer, nursery)
@@ -160,7 +166,13 @@
             nursery,
         )
         self._box_server = BoxServer(
-            self.state, self._directory, self._desk, self._neighbours.known, self._prober.check
+            self.state,
+            self._directory,
+            self._desk,
+            self._neighbours.known,
+            self._prober.check,
+            self._for_others,
+            self._forwarder,
         )
         self.relay = RelayServer(transport, self.state.is_endpoint)
         self._mover = PrimaryMover(
@@ -171,6 +183,7 @@
             promotions,
             self._prober,
             incarnation,
+            self._homes,
             self.take_listing,
         )
         self._retirement = BoxRetirement(
@@ -187,7 +200,8 @@
         """Whether new sessions should come to this box."""
         if self._unready or self._isolation.is_isolated:
             return False
-        return self.state.version > 0 and bool(self.state.rows)
+        knows_boxes = self._directory.listed_since is not None or bool(self._directory.boxes)
+        return self.state.version > 0 and bool(self.state.rows) and knows_boxes
 
     def start(self) -> None:
         """Start every task."""
@@ -202,6 +216,8 @@
             self._mover.run,
             self._isolation.run,
             self._runner.patience.run,
+            self._forwarder.watch_for_ever,
+            self._for_others.run_for_ever,
             self._log.flush_for_ever,
         ):
             self._nursery.start_soon(task)
@@ -354,6 +370,7 @@
         started = trio.current_time()
         self._unready = True
         self._log.change("stopping", sessions=self.sessions.count)
+        self._nursery.start_soon(self._directory.tell_leaving)
         await trio.sleep(BALANCER_SEES_S)
         self.sessions.close_idle()
         await self._until_ended(started + self._identity.grace_s / 2)
@@ -368,5 +385,5 @@
         self._log.flush()
 
     async def _until_ended(self, until: float) -> None:
-        while self.sessions.count and trio.current_time() < until:
+        while (self.sessions.count or self._for_others.count) and trio.current_time() < until:
             await trio.sleep(DRAIN_LOOK_S)
--- a/wharftiller/daemons/sessions/state.py
+++ b/wharftiller/daemons/sessions/state.py
@@ -16,7 +16,6 @@
 from wharftiller.core.sessions.endpoints import EndpointRow
 from wharftiller.core.sessions.figures import Figures
 from wharftiller.core.sessions.routes import EndpointEntry, SessionConfiguration
-from wharftiller.core.sessions.shares import connection_share
 from wharftiller.core.sessions.statements import EndpointQuery, RefusalKind, Rollback
 from wharftiller.daemons.sessions.pool import EndpointPool
 
@@ -67,6 +66,12 @@
         Every endpoint ever listed, and the connections to it, by name.
     check_soon : trio.Event
         Set to have the leases checked without waiting for the next time.
+    share_of_group, serves_group : callable
+        How many connections to an endpoint of a group this box may keep, and whether it
+        runs the group's statements by itself; `Homes` sets both.
+    told_usable : dict of str to bool
+        For groups whose statements are passed on, whether their home said last that it
+        can use the primary.
     """
 
     def __init__(
@@ -93,6 +98,9 @@
         self.rows: dict[str, EndpointRow] = {}
         self.pools: dict[str, EndpointPool] = {}
         self.check_soon = trio.Event()
+        self.share_of_group: Callable[[str], int] = lambda group: 1
+        self.serves_group: Callable[[str], bool] = lambda group: True
+        self.told_usable: dict[str, bool] = {}
         self.figures = Figures()
         log.counts = self.figures.events
 
@@ -159,9 +167,7 @@
 
     def _share_of(self, row: EndpointRow) -> Callable[[], int]:
         def share() -> int:
-            limits = self.configuration.groups.get(row.entry.group)
-            most = limits.max_connections if limits is not None else 1
-            return connection_share(most, len(self.leases.boxes) + 1)
+            return self.share_of_group(row.entry.group)
 
         return share
 
--- a/wharftiller/daemons/sessions/statements.py
+++ b/wharftiller/daemons/sessions/statements.py
@@ -18,23 +18,31 @@
     refused,
 )
 from wharftiller.daemons.sessions.choice import EndpointChooser
-from wharftiller.daemons.sessions.notes import note_answer
+from wharftiller.daemons.sessions.notes import note_answer, note_run_for_box
 from wharftiller.daemons.sessions.patience import ReadPatience
 from wharftiller.daemons.sessions.singles import SingleRunner
 from wharftiller.daemons.sessions.transactions import TransactionRunner
 
 if TYPE_CHECKING:
     from wharftiller.core.sessions.routes import Route
-    from wharftiller.core.sessions.session import Session
+    from wharftiller.core.sessions.session import OpenTransaction, Session
     from wharftiller.core.sessions.statements import Statement
+    from wharftiller.daemons.sessions.forwarding import Forwarder
     from wharftiller.daemons.sessions.state import SharedState
 
 
 class StatementRunner:
-    """Runs statements for every session of this box."""
+    """Runs statements for every session of this box.
 
-    def __init__(self, state: SharedState) -> None:
+    Parameters
+    ----------
+    forwarder : Forwarder or None
+        Passes statements to other boxes; without one all are run here.
+    """
+
+    def __init__(self, state: SharedState, forwarder: Forwarder | None = None) -> None:
         self._state = state
+        self._forwarder = forwarder
         chooser = EndpointChooser(state)
         self.patience = ReadPatience()
         self._singles = SingleRunner(state, chooser, self.patience)
@@ -66,7 +74,7 @@
             case Commit() if transaction is None:
                 return refused(RefusalKind.MALFORMED, "no transaction is open", session.state)
             case _ if transaction is not None:
-                return await self._transactions.run(session, transaction, statement, arrived_at)
+                return await self._in_transaction(session, transaction, statement, arrived_at)
             case _:
                 return await self._single(session, statement, arrived_at)
         return Reply(session.state)
@@ -96,8 +104,46 @@
         route = self._route(session)
         if route is None:
             return self._no_route(session)
+        if self._forwarder is not None:
+            reply = await self._forwarder.single(session, route, statement, arrived_at)
+            if reply is not None:
+                return reply
         return await self._singles.run(session, route, statement, arrived_at)
 
+    async def _in_transaction(
+        self,
+        session: Session,
+        transaction: OpenTransaction,
+        statement: Statement,
+        arrived_at: float,
+    ) -> Reply:
+        if self._forwarder is not None and transaction.connection is None:
+            reply = await self._forwarder.in_transaction(
+                session, transaction, statement, arrived_at
+            )
+            if reply is not None:
+                return reply
+        return await self._transactions.run(session, transaction, statement, arrived_at)
+
+    async def run_for_box(
+        self, session: Session, route: Route, statement: Statement, arrived_at: float
+    ) -> Reply:
+        """Return the answer to another box's statement, which needs an endpoint."""
+        if session.transaction is not None:
+            reply = await self._transactions.run(
+                session, session.transaction, statement, arrived_at
+            )
+        else:
+            reply = await self._singles.run(session, route, statement, arrived_at)
+        note_run_for_box(self._state, session, statement, reply, arrived_at)
+        return reply
+
+    def begin_for_box(
+        self, session: Session, route: Route, read_only: bool, begun_at: float
+    ) -> None:
+        """Open another box's transaction; its first statement chooses the endpoint."""
+        self._transactions.begin(session, route, read_only, begun_at)
+
     def _route(self, session: Session) -> Route | None:
         return self._state.configuration.routes.get(session.database)
 
@@ -107,8 +153,15 @@
 
     def end_transaction(self, session: Session) -> None:
         """Forget the open transaction; what it wrote is rolled back."""
-        self._transactions.end(session)
+        transaction = session.transaction
+        if self._forwarder is not None and transaction is not None and transaction.remote:
+            self._forwarder.drop(session, transaction)
+        else:
+            self._transactions.end(session)
 
     def fail_transaction(self, session: Session) -> None:
         """Give up the open transaction's connection; the caller is told at its next statement."""
+        transaction = session.transaction
         self._transactions.fail(session)
+        if self._forwarder is not None and transaction is not None:
+            self._forwarder.end_remote(transaction)
--- /dev/null
+++ b/wharftiller/edges/forwarded_json.py
@@ -0,0 +1,271 @@
+"""Statements that one box runs for another, and their replies, as JSON.
+
+Texts and rows keep bytes that are no UTF-8: each byte travels as one character.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+import attrs
+
+from wharftiller.core.errors import BadRequestError
+from wharftiller.core.positions import LogPosition
+from wharftiller.core.sessions.routes import (
+    BoundedReads,
+    Consistency,
+    OwnWritesReads,
+    PrimaryReads,
+    Route,
+)
+from wharftiller.core.sessions.statements import (
+    Access,
+    Commit,
+    Direct,
+    Execute,
+    PreparedStatement,
+    Refusal,
+    RefusalKind,
+    Reply,
+    SessionState,
+    Statement,
+)
+
+ForwardedBody = Direct | Execute | Commit
+
+
+@attrs.frozen
+class ForwardedStatement:
+    """One statement with all of its session that decides how it runs.
+
+    Attributes
+    ----------
+    age_s, begun_s : float
+        How long ago it came, and how long ago its transaction began, in seconds.
+    transaction : str
+        Id of its transaction; empty outside any.
+    begins : bool
+        Whether the transaction begins with it.
+    needed : PreparedStatement or None
+        What the name that it executes stands for.
+    own_write : LogPosition or None
+        Newest position that the session wrote in the route's group.
+    unsettled : bool
+        Whether the outcome of a write of the session in that group is not known.
+    """
+
+    box: str
+    caller: str
+    route: Route
+    statement: Statement
+    age_s: float
+    values: dict[str, str]
+    needed: PreparedStatement | None = None
+    transaction: str = ""
+    begins: bool = False
+    read_only: bool = False
+    begun_s: float = 0.0
+    own_write: LogPosition | None = None
+    unsettled: bool = False
+
+
+@attrs.frozen
+class ForwardedReply:
+    """The reply of the box that ran it.
+
+    Attributes
+    ----------
+    own_write, unsettled
+        What the session wrote by now; see `ForwardedStatement`.
+    primary_usable : bool
+        Whether that box can use the group's primary.
+    """
+
+    reply: Reply
+    own_write: LogPosition | None
+    unsettled: bool
+    primary_usable: bool
+
+
+def _to_text(text: str) -> str:
+    return text.encode(errors="surrogateescape").decode("latin-1")
+
+
+def _from_text(text: str) -> str:
+    return text.encode("latin-1").decode(errors="surrogateescape")
+
+
+def _position_to_json(position: LogPosition | None) -> list[int] | None:
+    return None if position is None else [position.term, position.index]
+
+
+def _position_from_json(value: Any) -> LogPosition | None:
+    return None if value is None else LogPosition(int(value[0]), int(value[1]))
+
+
+def _prepared_to_json(prepared: PreparedStatement | None) -> list[str] | None:
+    return None if prepared is None else [prepared.access.value, _to_text(prepared.shape)]
+
+
+def _prepared_from_json(value: Any) -> PreparedStatement | None:
+    return None if value is None else PreparedStatement(Access(value[0]), _from_text(value[1]))
+
+
+def _route_to_json(route: Route) -> dict[str, Any]:
+    match route.consistency:
+        case PrimaryReads():
+            reading: list[Any] = ["primary"]
+        case BoundedReads(max_age_s):
+            reading = ["bounded", max_age_s]
+        case OwnWritesReads(max_age_s):
+            reading = ["own_writes", max_age_s]
+    return {
+        "name": route.name,
+        "database": route.database,
+        "group": route.group,
+        "reading": reading,
+        "timeout_s": route.timeout_s,
+        "latency_goal_s": route.latency_goal_s,
+        "priority": route.priority,
+    }
+
+
+def _route_from_json(value: Any) -> Route:
+    consistency: Consistency
+    match value["reading"]:
+        case ["primary"]:
+            consistency = PrimaryReads()
+        case ["bounded", max_age_s]:
+            consistency = BoundedReads(float(max_age_s))
+        case ["own_writes", max_age_s]:
+            consistency = OwnWritesReads(float(max_age_s))
+        case other:
+            raise ValueError(f"{other!r} is no kind of reading")
+    return Route(
+        name=str(value["name"]),
+        database=str(value["database"]),
+        group=str(value["group"]),
+        consistency=consistency,
+        timeout_s=float(value["timeout_s"]),
+        latency_goal_s=float(value["latency_goal_s"]),
+        priority=int(value["priority"]),
+    )
+
+
+def _body_to_json(body: object) -> list[str]:
+    match body:
+        case Direct(access):
+            return ["direct", access.value]
+        case Execute(name, arguments):
+            return ["execute", _to_text(name), _to_text(arguments)]
+        case Commit():
+            return ["commit"]
+        case _:
+            raise BadRequestError(f"{body!r} is answered by the box that got it")
+
+
+def _body_from_json(value: Any) -> ForwardedBody:
+    match value:
+        case ["direct", access]:
+            return Direct(Access(access))
+        case ["execute", name, arguments]:
+            return Execute(_from_text(name), _from_text(arguments))
+        case ["commit"]:
+            return Commit()
+        case _:
+            raise ValueError(f"{value!r} is no statement that is passed on")
+
+
+def statement_to_json(asked: ForwardedStatement) -> dict[str, Any]:
+    """Return a statement as JSON."""
+    return {
+        "box": asked.box,
+        "caller": _to_text(asked.caller),
+        "route": _route_to_json(asked.route),
+        "request": _to_text(asked.statement.request_id),
+        "text": _to_text(asked.statement.text),
+        "body": _body_to_json(asked.statement.body),
+        "age_s": asked.age_s,
+        "values": {_to_text(k): _to_text(v) for k, v in asked.values.items()},
+        "needed": _prepared_to_json(asked.needed),
+        "transaction": asked.transaction,
+        "begins": asked.begins,
+        "read_only": asked.read_only,
+        "begun_s": asked.begun_s,
+        "own_write": _position_to_json(asked.own_write),
+        "unsettled": asked.unsettled,
+    }
+
+
+def statement_from_json(value: Any) -> ForwardedStatement:
+    """Return the statement that ``value`` holds.
+
+    Raises
+    ------
+    BadRequestError
+        If it is none.
+    """
+    try:
+        return ForwardedStatement(
+            box=str(value["box"]),
+            caller=_from_text(value["caller"]),
+            route=_route_from_json(value["route"]),
+            statement=Statement(
+                _from_text(value["request"]),
+                _from_text(value["text"]),
+                _body_from_json(value["body"]),
+            ),
+            age_s=float(value["age_s"]),
+            values={_from_text(k): _from_text(v) for k, v in value["values"].items()},
+            needed=_prepared_from_json(value["needed"]),
+            transaction=str(value["transaction"]),
+            begins=value["begins"] is True,
+            read_only=value["read_only"] is True,
+            begun_s=float(value["begun_s"]),
+            own_write=_position_from_json(value["own_write"]),
+            unsettled=value["unsettled"] is True,
+        )
+    except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
+        raise BadRequestError(f"no statement to run: {error!r}; run one version") from None
+
+
+def reply_to_json(told: ForwardedReply) -> dict[str, Any]:
+    """Return a reply as JSON."""
+    reply = told.reply
+    refusal = reply.refusal
+    return {
+        "state": reply.state.value,
+        "rows": [row.decode("latin-1") for row in reply.rows],
+        "proof": None if reply.proof is None else _to_text(reply.proof),
+        "refusal": None if refusal is None else [refusal.kind.value, _to_text(refusal.detail)],
+        "position": _position_to_json(reply.position),
+        "endpoint": reply.endpoint,
+        "own_write": _position_to_json(told.own_write),
+        "unsettled": told.unsettled,
+        "primary_usable": told.primary_usable,
+    }
+
+
+def reply_from_json(value: Any) -> ForwardedReply:
+    """Return the reply that ``value`` holds.
+
+    Raises
+    ------
+    BadRequestError
+        If it is none.
+    """
+    try:
+        refusal = value["refusal"]
+        reply = Reply(
+            SessionState(value["state"]),
+            tuple(row.encode("latin-1") for row in value["rows"]),
+            None if value["proof"] is None else _from_text(value["proof"]),
+            None if refusal is None else Refusal(RefusalKind(refusal[0]), _from_text(refusal[1])),
+            _position_from_json(value["position"]),
+            None if value["endpoint"] is None else str(value["endpoint"]),
+        )
+        own_write = _position_from_json(value["own_write"])
+        usable = value["primary_usable"] is True
+        return ForwardedReply(reply, own_write, value["unsettled"] is True, usable)
+    except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
+        raise BadRequestError(f"no reply to a statement: {error!r}; run one version") from None
--- a/wharftiller/edges/http_client.py
+++ b/wharftiller/edges/http_client.py
@@ -100,6 +100,13 @@
             raise ExchangeError("the peer sent more than one answer to a request")
         return HttpAnswer(parser.get_status_code(), collector.headers, b"".join(collector.body))
 
+    @property
+    def usable(self) -> bool:
+        """Whether nothing unexpected has come on it; the peer may have closed it."""
+        if isinstance(self._stream, trio.SocketStream):
+            return not self._stream.socket.is_readable()
+        return True
+
     async def aclose(self) -> None:
         """Close at once."""
         await close_now(self._stream)
@@ -173,3 +180,60 @@
         connection, self._connection = self._connection, None
         if connection is not None:
             await connection.aclose()
+
+
+class NotSentError(ExchangeError):
+    """No connection could be had, so nothing was sent."""
+
+
+class HttpPool:
+    """Requests to one address over as many kept connections as are needed at once."""
+
+    def __init__(self, transport: Transport, address: str, connect_timeout_s: float) -> None:
+        self._transport = transport
+        self._address = address
+        self._connect_timeout_s = connect_timeout_s
+        self._idle: list[HttpConnection] = []
+
+    async def post(self, path: str, body: Any) -> HttpAnswer:
+        """Send a request once and return its answer.
+
+        Raises
+        ------
+        NotSentError
+            If no connection could be had.
+        ExchangeError
+            If no answer came; the request may or may not have taken effect.
+        """
+        connection = await self._connection()
+        whole = False
+        try:
+            answer = await connection.request("POST", path, body)
+            whole = answer.headers.get("connection") != "close"
+            return answer
+        finally:
+            if whole:
+                self._idle.append(connection)
+            else:
+                with trio.CancelScope(shield=True):
+                    await connection.aclose()
+
+    async def _connection(self) -> HttpConnection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.usable:
+                return connection
+            await connection.aclose()
+        try:
+            with trio.fail_after(self._connect_timeout_s):
+                return HttpConnection(await self._transport.connect(self._address))
+        except trio.TooSlowError:
+            raise NotSentError(f"{self._address} took no connection in time") from None
+        except ExchangeError as error:
+            raise NotSentError(str(error)) from error
+
+    async def aclose(self) -> None:
+        """Drop the connections that nobody uses."""
+        idle, self._idle = self._idle, []
+        for connection in idle:
+            await connection.aclose()
--- a/wharftiller/edges/metrics_page.py
+++ b/wharftiller/edges/metrics_page.py
@@ -77,6 +77,14 @@
         for pair, count in self._figures.statements.items():
             statements.add_metric(pair, count)
         yield statements
+        forwarded = CounterMetricFamily(
+            f"{PREFIX}_forwarded_statements",
+            "Statements passed to a group's home box, by what came of them.",
+            labels=("home", "outcome"),
+        )
+        for pair, count in self._figures.forwarded.items():
+            forwarded.add_metric(pair, count)
+        yield forwarded
         events = CounterMetricFamily(
             f"{PREFIX}_events",
             "Logged events, those left out of the log included.",
--- /dev/null
+++ b/wharftiller/tests/core/sessions/test_homes.py
@@ -0,0 +1,40 @@
+"""How scarce connections are dealt out: every box by itself, or a few homes for all."""
+
+from __future__ import annotations
+
+import pytest
+
+from wharftiller.core.sessions.homes import LEAST_SHARE, homes_of, plan_homes
+
+
+class TestPlan:
+    @pytest.mark.parametrize(
+        ("limit", "boxes", "centres"), [(23, 9, 3), (38, 8, 3), (283, 72, 4), (25, 1, 1)]
+    )
+    def test_where_there_are_enough_every_box_connects(
+        self, limit: int, boxes: int, centres: int
+    ) -> None:
+        plan = plan_homes(limit, boxes, centres)
+        assert plan.homes is None
+        assert plan.share >= LEAST_SHARE
+        assert plan.share * boxes <= limit
+
+    @pytest.mark.parametrize("limit", [10, 23, 53, 100])
+    @pytest.mark.parametrize("boxes", [71, 300, 1000])
+    @pytest.mark.parametrize("centres", [1, 3, 5])
+    def test_where_there_are_too_few_homes_keep_within_the_limit(
+        self, limit: int, boxes: int, centres: int
+    ) -> None:
+        plan = plan_homes(limit, boxes, centres)
+        if plan.homes is None:
+            assert plan.share * boxes <= limit
+        else:
+            assert plan.share * plan.homes * centres <= limit
+
+    def test_homes_are_the_same_for_every_box_and_differ_by_group(self) -> None:
+        names = [f"box-{number}" for number in range(24)]
+        plan = plan_homes(53, 72, 3)
+        assert plan.homes == 2
+        assert homes_of("seats", names, plan) == homes_of("seats", reversed(names), plan)
+        chosen = {tuple(homes_of(f"group-{number}", names, plan)) for number in range(8)}
+        assert len(chosen) > 4
--- /dev/null
+++ b/wharftiller/tests/platform/test_homes.py
@@ -0,0 +1,205 @@
+"""More boxes than an endpoint has connections: a few homes run the statements of all."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import pytest
+import trio
+
+from standins.line_endpoints import proof
+from wharftiller.daemons.sessions.proxy import SHARED_READ_S
+from wharftiller.tests.platform.world import BoxProcess, Caller, World, make_group, run_in_world
+
+BOXES = 9
+SCARCE = 10
+
+
+def run_scarce(story: Callable[[World], Awaitable[None]], **changes: Any) -> None:
+    """Run ``story`` where endpoints take fewer connections than two a box."""
+
+    async def settled(world: World) -> None:
+        # Every box has read the list of all boxes again.
+        await trio.sleep(SHARED_READ_S)
+        await story(world)
+
+    run_in_world(settled, boxes=BOXES, groups=[make_group(max_connections=SCARCE, **changes)])
+
+
+def home_of(world: World, centre: str) -> BoxProcess:
+    """Return the box that runs the statements of one data centre."""
+    near = [box for box in world.boxes.values() if box.process.proxy.state.data_centre == centre]  # type: ignore[union-attr]
+    homes = [box for box in near if box.process.proxy.state.serves_group("seats")]  # type: ignore[union-attr]
+    assert len(homes) == 1
+    return homes[0]
+
+
+def others_in(world: World, centre: str) -> list[BoxProcess]:
+    """Return the boxes of a data centre that pass their statements on."""
+    home = home_of(world, centre)
+    return [
+        box
+        for box in world.boxes.values()
+        if box is not home and box.process.proxy.state.data_centre == centre  # type: ignore[union-attr]
+    ]
+
+
+class TestHomes:
+    def test_every_box_serves_within_the_endpoints_limit(self) -> None:
+        async def story(world: World) -> None:
+            group = world.groups[0]
+            callers = [await world.call(box, "primary") for box in world.boxes.values()]
+
+            async def work(caller: Caller, number: int) -> None:
+                for turn in range(5):
+                    answer = await caller.ask(f"WRITE seat{number} guest{turn}")
+                    assert answer[0] == "ROW written", answer
+                    assert (await caller.ask(f"READ seat{number}"))[0] == f"ROW guest{turn}"
+
+            async with trio.open_nursery() as nursery:
+                for number, caller in enumerate(callers):
+                    nursery.start_soon(work, caller, number)
+            assert group.primary.connections <= SCARCE
+            assert group.primary.opened <= SCARCE
+
+        run_scarce(story)
+
+    def test_an_answer_passed_on_is_the_endpoints_own(self) -> None:
+        async def story(world: World) -> None:
+            caller = await world.call(others_in(world, "a")[0], "read_own_writes")
+            written = await caller.ask("WRITE seat7 anna", "id-1")
+            primary = world.groups[0].primary
+            assert written[1] == f"COMPLETE {proof(primary, 'id-1', 'WRITE seat7 anna')}"
+            assert (await caller.ask("READ seat7"))[0] == "ROW anna"
+
+        run_scarce(story, lag_s=0.3)
+
+    def test_values_and_prepared_names_go_with_the_statement(self) -> None:
+        async def story(world: World) -> None:
+            box, other = others_in(world, "a")
+            one, two = await world.call(box, "primary"), await world.call(other, "primary")
+            await one.ask("SET colour red")
+            await one.ask("PREPARE s READ shape")
+            await two.ask("PREPARE s WRITE shape")
+            for number in range(4):
+                assert (await one.ask("EXECUTE s seat1"))[0].endswith("colour=red")
+                assert (await two.ask(f"EXECUTE s seat{number} x"))[0] == "ROW written"
+                assert "colour" not in (await two.ask("READ seat1"))[0]
+
+        run_scarce(story)
+
+    def test_a_transaction_runs_whole_on_one_connection(self) -> None:
+        async def story(world: World) -> None:
+            caller = await world.call(others_in(world, "b")[0], "primary")
+            await caller.ask("BEGIN")
+            assert (await caller.ask("WRITE seat1 anna"))[-1].startswith("READY T")
+            await caller.ask("WRITE seat2 boris")
+            assert (await caller.ask("COMMIT"))[-1].startswith("READY I")
+            assert len(world.groups[0].primary.log) == 1
+            await caller.ask("BEGIN")
+            await caller.ask("WRITE seat1 vera")
+            assert (await caller.ask("ROLLBACK"))[-1].startswith("READY I")
+            assert (await caller.ask("READ seat1"))[0] == "ROW anna"
+
+        run_scarce(story)
+
+    @pytest.mark.parametrize("leaves", ["by closing", "with its box"])
+    def test_a_transaction_whose_caller_is_gone_is_rolled_back(self, leaves: str) -> None:
+        async def story(world: World) -> None:
+            box = others_in(world, "b")[0]
+            home = home_of(world, "b")
+            caller = await world.call(box, "primary")
+            await caller.ask("BEGIN")
+            await caller.ask("WRITE seat1 anna")
+            held = home.process.proxy._for_others  # type: ignore[union-attr]
+            assert held.count == 1
+            if leaves == "by closing":
+                caller.close()
+                await trio.sleep(0.5)
+            else:
+                await world.kill_box(box)
+                await trio.sleep(5.0)
+            assert held.count == 0
+            assert world.groups[0].primary.log == []
+
+        run_scarce(story)
+
+    def test_when_a_home_is_killed_another_serves(self) -> None:
+        async def story(world: World) -> None:
+            box = others_in(world, "a")[0]
+            caller = await world.call(box, "primary")
+            await caller.ask("WRITE seat1 anna")
+            await world.kill_box(home_of(world, "a"))
+            with trio.fail_after(2):
+                while (await caller.ask("WRITE seat1 boris"))[0] != "ROW written":
+                    await trio.sleep(0.05)
+            assert (await caller.ask("READ seat1"))[0] == "ROW boris"
+
+        run_scarce(story)
+
+    def test_a_write_is_unknown_when_its_home_goes_dark_under_it(self) -> None:
+        async def story(world: World) -> None:
+            world.groups[0].work_s = 0.3
+            box = others_in(world, "a")[0]
+            caller = await world.call(box, "primary")
+            await caller.send(b"QUERY id-1 WRITE seat1 anna\r\n")
+            await trio.sleep(0.1)
+            home = home_of(world, "a")
+            world.network.cut([home.ip], [each.ip for each in world.boxes.values()])
+            started = trio.current_time()
+            assert (await caller.line() or "").startswith("ERROR INDOUBT ")
+            assert trio.current_time() - started < 0.8
+            assert (await caller.line() or "").startswith("READY I ")
+            # Its own writes may be there: from now on it reads from the primary.
+            assert (await caller.ask("READ seat1"))[0] == "ROW anna"
+
+        run_scarce(story)
+
+    def test_a_read_goes_to_another_home_when_its_home_goes_dark(self) -> None:
+        async def story(world: World) -> None:
+            box = others_in(world, "a")[0]
+            caller = await world.call(box, "bounded_staleness")
+            await caller.ask("READ seat1")
+            home = home_of(world, "a")
+            world.network.cut([home.ip], [each.ip for each in world.boxes.values()])
+            assert (await caller.ask("READ seat1"))[0] == "ROW none"
+
+        run_scarce(story)
+
+    def test_a_planned_stop_of_a_home_cuts_no_statement(self) -> None:
+        async def story(world: World) -> None:
+            box = others_in(world, "a")[0]
+            callers = [await world.call(box, "primary") for _ in range(4)]
+            home = home_of(world, "a")
+            refused: list[list[str]] = []
+
+            async def work(caller: Caller, number: int) -> None:
+                while not home.ended.is_set():
+                    answer = await caller.ask(f"WRITE seat{number} x")
+                    if answer[0] != "ROW written":
+                        refused.append(answer)
+                    await trio.sleep(0.01)
+
+            async with trio.open_nursery() as nursery:
+                for number, caller in enumerate(callers):
+                    nursery.start_soon(work, caller, number)
+                await trio.sleep(0.3)
+                home.told.set()
+            assert refused == []
+
+        run_scarce(story)
+
+    def test_a_dark_primary_is_replaced_by_its_homes(self) -> None:
+        async def story(world: World) -> None:
+            group = world.groups[0]
+            caller = await world.call(others_in(world, "c")[0], "primary")
+            await caller.ask("WRITE seat1 anna")
+            await trio.sleep(0.2)
+            world.kill_server(group.primary)
+            with trio.fail_after(4):
+                while (await caller.ask("WRITE seat2 boris"))[0] != "ROW written":
+                    await trio.sleep(0.1)
+            assert (await caller.ask("READ seat1"))[0] == "ROW anna"
+
+        run_scarce(story)
