With synchronous replicas, promote only where no acknowledged write can be missing

Cause: with SyncReplicas 1 a write is acknowledged once one replica, whichever, has it. The successor was the most advanced of the replicas that answered; with the one that alone holds an acknowledged write out of reach, the write was lost with the promotion (the new test promoted the deaf replica). Ruled out: suspending replicas first. No box acknowledges anything once all have given their word or their leases are waited out, so what replicas have received by then is all. Change: in such a group a planned change needs a successor that has caught up with the old primary; any other change waits until every listed replica says what it received, asked after the boxes have stopped. Before: test_a_replica_that_cannot_be_asked_is_waited_for promotes seats-1. After: passes.

--- a/standins/line_endpoints.py
+++ b/standins/line_endpoints.py
@@ -16,6 +16,9 @@
 if TYPE_CHECKING:
     from wharftiller.edges.transport import Transport
 
+SYNC_LOOK_S = 0.005
+"""Time between looks at whether enough replicas hold a write, in seconds."""
+
 
 @attrs.frozen
 class Record:
@@ -90,6 +93,8 @@
     ----------
     lag_s, work_s, promote_s : float
         Time until replicas hold a write, for a statement and for a promotion, in seconds.
+    sync_replicas : int
+        Replicas that hold a write before it is acknowledged.
     promotions : list of (str, str, int)
         Every order of a promotion: server, holder and fence.
     """
@@ -99,6 +104,7 @@
     lag_s: float = 0.02
     work_s: float = 0.01
     promote_s: float = 0.3
+    sync_replicas: int = 0
     servers: list[LineServer] = attrs.field(factory=list)
     promotions: list[tuple[str, str, int]] = attrs.field(factory=list)
     nursery: trio.Nursery | None = None
@@ -108,7 +114,7 @@
         """The server that leads the newest term."""
         return max((each for each in self.servers if each.leads), key=lambda each: each.term)
 
-    def commit(
+    async def commit(
         self, server: LineServer, writes: tuple[tuple[str, str], ...], request_id: str
     ) -> None:
         """Append a transaction to a server's log and send it to the others."""
@@ -116,6 +122,13 @@
         server.log.append(Record(server.term, number, writes, request_id))
         assert self.nursery is not None
         self.nursery.start_soon(self._replicate, server)
+        written = server.position
+        while self._holding(server, written) < self.sync_replicas:
+            await trio.sleep(SYNC_LOOK_S)
+
+    def _holding(self, source: LineServer, position: str) -> int:
+        """Return how many other servers hold ``position``."""
+        return sum(1 for each in self.servers if each is not source and each.holds(position))
 
     async def _replicate(self, source: LineServer) -> None:
         """Bring the other servers to the source's log, after the lag."""
@@ -286,14 +299,14 @@
             if state.state == "T":
                 state.writes.append((thing, data))
             else:
-                server.group.commit(server, ((thing, data),), request_id)
+                await server.group.commit(server, ((thing, data),), request_id)
             return ["ROW written", done]
         case ["COMMIT"]:
             writes, state.writes, state.state = tuple(state.writes), [], "I"
             if writes and not server.leads:
                 return [f"ERROR READONLY {server.name}"]
             if writes:
-                server.group.commit(server, writes, request_id)
+                await server.group.commit(server, writes, request_id)
             return [done]
         case _:
             return ["ERROR MALFORMED no such statement"]
--- a/wharftiller/daemons/sessions/mover.py
+++ b/wharftiller/daemons/sessions/mover.py
@@ -278,7 +278,8 @@
             answering.update(await self._lost_that_answer(record))
         if await self._called_off(record, answering):
             return False
-        return await self._writer.write(await self._ready_to_order(record))
+        ready = await self._ready_to_order(record)
+        return ready is not None and await self._writer.write(ready)
 
     async def _called_off(self, record: LeadershipRecord, answering: set[str]) -> bool:
         """Let the primaries of the groups ``answering`` go on leading, if there are any."""
@@ -307,17 +308,29 @@
                     nursery.start_soon(ask, group, row)
         return answering
 
-    async def _ready_to_order(self, record: LeadershipRecord) -> LeadershipRecord:
-        """Return the record with each change's best successor, marked as ordered."""
+    async def _ready_to_order(self, record: LeadershipRecord) -> LeadershipRecord | None:
+        """Return the record with each change's best successor, marked as ordered.
+
+        None while a group's successor cannot be told that loses no acknowledged write,
+        where its writes are on replicas before they are acknowledged.
+        """
         for group, moving in record.moving.items():
-            if moving.planned:
-                await self._successors.wait_caught_up(moving)
-            fresh_s = 0.0 if moving.planned else CANDIDATES_FRESH_S
-            best = await self._successors.best(group, moving, fresh_s)
+            best = await self._best_successor(group, moving)
+            if best is None:
+                return None
             ordered = attrs.evolve(moving, successor=best, ordered=True)
             record = record.with_group(group, ordered)
         return record
 
+    async def _best_successor(self, group: str, moving: Moving) -> str | None:
+        caught_up = moving.planned and await self._successors.wait_caught_up(moving)
+        if caught_up:
+            return moving.successor
+        if self._successors.keeps_acknowledged(group):
+            return await self._successors.holds_everything(group, moving.old.endpoint)
+        fresh_s = 0.0 if moving.planned else CANDIDATES_FRESH_S
+        return await self._successors.best(group, moving, fresh_s)
+
     async def _promote_all(self, record: LeadershipRecord) -> list[str]:
         """Order every promotion and record those that took effect.
 
--- a/wharftiller/daemons/sessions/successors.py
+++ b/wharftiller/daemons/sessions/successors.py
@@ -69,19 +69,46 @@
             self._state.log.event("no_status", endpoint=row.name, why=str(error))
             return None
 
-    async def wait_caught_up(self, moving: Moving) -> None:
-        """Wait until the successor has received all that the old primary holds."""
+    def keeps_acknowledged(self, group: str) -> bool:
+        """Return whether ``group``'s writes are on a replica before they are acknowledged."""
+        limits = self._state.configuration.groups.get(group)
+        return limits is not None and limits.sync_replicas > 0
+
+    async def holds_everything(self, group: str, old: str) -> str | None:
+        """Return the replica that surely holds every acknowledged write; None if none surely does.
+
+        To be asked once every box has stopped using ``old``. An acknowledged write is on
+        some replica, which one is not known: all of them must answer.
+        """
+        replicas = [row for row in self._state.rows_of(group) if row.name != old]
+        found = await self._ask_replicas(group, old)
+        best = best_candidate(found)
+        silent = {row.name for row in replicas} - {each.name for each in found}
+        if best is None or silent:
+            self._state.log.event("replicas_not_known", group=group, silent=sorted(silent))
+            return None
+        return best.name
+
+    async def wait_caught_up(self, moving: Moving) -> bool:
+        """Wait until the successor has received all that the old primary holds.
+
+        Returns
+        -------
+        bool
+            Whether it has.
+        """
         old = self._state.rows.get(moving.old.endpoint)
         new = self._state.rows.get(moving.successor)
         if old is None or new is None:
-            return
+            return False
         with trio.move_on_after(CATCH_UP_S):
             while True:
                 at_old, at_new = await self.status(old), await self.status(new)
                 if at_old is not None and at_new is not None and at_new.received >= at_old.received:
-                    return
+                    return True
                 await trio.sleep(LEADS_LOOK_S)
         self._state.log.event("successor_behind", endpoint=moving.successor)
+        return False
 
     async def best(self, group: str, moving: Moving, no_older_than_s: float = 0.0) -> str:
         """Return the endpoint that has received most, the recorded one if it has."""
--- a/wharftiller/tests/platform/test_changes_of_primary.py
+++ b/wharftiller/tests/platform/test_changes_of_primary.py
@@ -9,7 +9,7 @@
 from wharftiller.core.leadership.lease import LEASE_S
 from wharftiller.core.leadership.moves import UNREACHABLE_S
 from wharftiller.daemons.sessions.probes import PROBE_S, QUIET_PRIMARY_S
-from wharftiller.tests.platform.world import STORE, Caller, World, run_in_world
+from wharftiller.tests.platform.world import STORE, Caller, World, make_group, run_in_world
 
 STORE_IP = STORE.partition(":")[0]
 
@@ -122,6 +122,45 @@
         run_in_world(story)
 
 
+class TestSynchronousReplicas:
+    def test_a_replica_that_cannot_be_asked_is_waited_for(self) -> None:
+        """It may be the only one that holds an acknowledged write."""
+
+        async def story(world: World) -> None:
+            group = world.groups[0]
+            group.servers[1].deaf = True
+            caller = await world.call(world.boxes["box-1"], "primary")
+            assert (await caller.ask("WRITE seat1 anna"))[0] == "ROW written"
+            boxes = [box.ip for box in world.boxes.values()]
+            world.network.cut([group.servers[2].address.partition(":")[0]], boxes)
+            world.kill_server(group.primary)
+            await trio.sleep(6.0)
+            assert group.promotions == []
+            world.network.heal()
+            world.kill_server(group.servers[0])
+            # The new primary needs a replica too.
+            group.servers[1].deaf = False
+            await write_until_done(caller, "WRITE seat2 boris", 8.0)
+            assert {name for name, _, _ in group.promotions} == {"seats-2"}
+            assert (await caller.ask("READ seat1"))[0] == "ROW anna"
+
+        run_in_world(story, groups=[make_group(sync_replicas=1)])
+
+    def test_a_leaving_primary_hands_over_to_a_replica_that_holds_everything(self) -> None:
+        async def story(world: World) -> None:
+            group = world.groups[0]
+            group.servers[1].deaf = True
+            caller = await world.call(world.boxes["box-1"], "primary")
+            assert (await caller.ask("WRITE seat1 anna"))[0] == "ROW written"
+            group.servers[0].leaving = True
+            world.register(group.servers[0])
+            await trio.sleep(4.0)
+            assert {name for name, _, _ in group.promotions} == {"seats-2"}
+            assert (await caller.ask("READ seat1"))[0] == "ROW anna"
+
+        run_in_world(story, groups=[make_group(sync_replicas=1)])
+
+
 class TestPlanned:
     def test_a_leaving_primary_hands_over_without_losing_a_write(self) -> None:
         async def story(world: World) -> None:
--- a/wharftiller/tests/platform/world.py
+++ b/wharftiller/tests/platform/world.py
@@ -43,7 +43,7 @@
                 }
             )
     services = [
-        {"Name": group.name, "MaxConns": group.max_connections, "SyncReplicas": 0}
+        {"Name": group.name, "MaxConns": group.max_connections, "SyncReplicas": group.sync_replicas}
         for group in groups
     ]
     document = {
