--- a/standins/line_endpoints.py
+++ b/standins/line_endpoints.py
@@ -185,6 +185,9 @@
         server.connections += 1
         try:
             await _serve_connection(server, stream)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            # The caller reset it; what was open is rolled back.
+            pass
         finally:
             server.connections -= 1
 
