Keep half of an endpoint's connections free for restarts

Cause: after all boxes lost power the endpoints held the old connections for 3 s more, and nearly all they take; boxes that came back were refused until then. Ruled out: waiting for it in the boxes: they are refused in any case.

--- a/wharftiller/core/sessions/homes.py
+++ b/wharftiller/core/sessions/homes.py
@@ -12,19 +12,19 @@
 import attrs
 
 from wharftiller.core.rendezvous import ranked
-from wharftiller.core.sessions.shares import SET_ASIDE, connection_share
+from wharftiller.core.sessions.shares import SET_ASIDE, connection_share, most_connections
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
 LEAST_SHARE = 2
-"""Connections to one endpoint with which a box still serves by itself.
+"""Connections to one endpoint that a box must be able to have to serve by itself.
 
 One for a transaction and one for single statements beside it.
 """
 
 HOME_SHARE = 8
-"""Connections to one endpoint that a home should have.
+"""Connections to one endpoint that a home should be able to have.
 
 More than twice an endpoint's slots (3 to 5): transactions hold some of them between statements.
 """
@@ -48,9 +48,8 @@
 
 def plan_homes(max_connections: int, boxes: int, data_centres: int) -> HomePlan:
     """Return how ``boxes`` boxes in all share an endpoint's ``max_connections``."""
-    share = connection_share(max_connections, boxes)
-    if share >= LEAST_SHARE or boxes <= data_centres:
-        return HomePlan(None, share)
+    if most_connections(max_connections, boxes) >= LEAST_SHARE or boxes <= data_centres:
+        return HomePlan(None, connection_share(max_connections, boxes))
     homes = max(1, (max_connections - SET_ASIDE) // HOME_SHARE // max(1, data_centres))
     return HomePlan(homes, connection_share(max_connections, homes * max(1, data_centres)))
 
--- a/wharftiller/core/sessions/shares.py
+++ b/wharftiller/core/sessions/shares.py
@@ -5,6 +5,13 @@
 SET_ASIDE = 2
 """Connections of each endpoint set aside for status checks and for boxes that join."""
 
+KEPT_PART = 2
+"""One in so many of the connections that a box could have is kept.
+
+Connections of boxes that lost power stay open at the endpoints for seconds (3 s on the
+platforms served); as many as those must be free when all boxes start again.
+"""
+
 
 def connection_share(max_connections: int, boxes: int) -> int:
     """Return the connections to one endpoint that one of ``boxes`` boxes may keep.
@@ -12,4 +19,9 @@
     Boxes' lists may differ for a moment; the endpoint's refusal, which runs
     nothing, is the backstop.
     """
-    return max(1, (max_connections - SET_ASIDE) // max(boxes, 1))
+    return max(1, most_connections(max_connections, boxes) // KEPT_PART)
+
+
+def most_connections(max_connections: int, boxes: int) -> int:
+    """Return the connections to one endpoint that each of ``boxes`` boxes could have."""
+    return (max_connections - SET_ASIDE) // max(boxes, 1)
