--- a/wharftiller/cli/wharfctl.py
+++ b/wharftiller/cli/wharfctl.py
@@ -14,9 +14,11 @@
 
 from wharftiller.cli.calls import CallError, Target, call
 from wharftiller.cli.daemon import print_faults, settings_or_exit
+from wharftiller.cli.report_tables import tables_of
 from wharftiller.core.errors import BadRequestError
 from wharftiller.decision_story import LoggedEvent, read_events, story_of
 from wharftiller.keys import KeyRing
+from wharftiller.run_report import report_of
 from wharftiller.settings import SettingsErrorGroup, load_settings
 from wharftiller.traces import read_trace
 from wharftiller.traces import replay as replay_trace
@@ -27,6 +29,9 @@
     epilog="Exit codes: 0 done, 1 refused (the message says why), 2 bad usage, 3 not reachable.",
 )
 
+REPORT_WIDTH = 110
+"""Width of a report's tables, in characters."""
+
 REFUSED = 1
 BAD_USAGE = 2
 NOT_REACHABLE = 3
@@ -244,16 +249,34 @@
         raise typer.Exit(REFUSED)
 
 
+def _events_of(files: list[Path]) -> list[LoggedEvent]:
+    events: list[LoggedEvent] = []
+    for file in files:
+        with file.open(encoding="utf-8", errors="replace") as lines:
+            events.extend(read_events(lines))
+    return events
+
+
+@app.command()
+def report(
+    files: Annotated[list[Path], typer.Argument(help="Logs of one or more boxes.")],
+    svg: Annotated[Path | None, typer.Option(help="Write the tables there as a picture.")] = None,
+) -> None:
+    """Print who served reads, how long changes of primary took, and what was refused when."""
+    console = Console(record=svg is not None, width=REPORT_WIDTH)
+    for table in tables_of(report_of(_events_of(files))):
+        console.print(table)
+    if svg is not None:
+        console.save_svg(str(svg), title="wharftiller")
+
+
 @app.command()
 def trace(
     request_id: Annotated[str, typer.Argument(help="The request's id.")],
     files: Annotated[list[Path], typer.Argument(help="Logs of one or more boxes.")],
 ) -> None:
     """Print a request's story from decision logs, with what its boxes believed meanwhile."""
-    events: list[LoggedEvent] = []
-    for file in files:
-        with file.open(encoding="utf-8", errors="replace") as lines:
-            events.extend(read_events(lines))
+    events = _events_of(files)
     story = story_of(request_id, events)
     if not story:
         typer.echo(
--- a/wharftiller/daemons/sessions/notes.py
+++ b/wharftiller/daemons/sessions/notes.py
@@ -7,6 +7,7 @@
 import trio
 
 from wharftiller.core.sessions.figures import AnswerLabels
+from wharftiller.core.sessions.statements import Direct, Execute
 
 if TYPE_CHECKING:
     from wharftiller.core.sessions.endpoints import EndpointRow
@@ -30,7 +31,7 @@
         outcome,
     )
     state.figures.answered(labels, took_s)
-    state.log.answered(session, statement, reply, took_s, lambda: _believed(state, route))
+    _log(state, session, statement, reply, took_s, route)
 
 
 def note_run_for_box(
@@ -39,7 +40,35 @@
     """Log how a statement ended that was run for another box, which counts the answer."""
     took_s = trio.current_time() - arrived_at
     route = state.configuration.routes.get(session.database)
-    state.log.answered(session, statement, reply, took_s, lambda: _believed(state, route))
+    _log(state, session, statement, reply, took_s, route)
+
+
+def _log(
+    state: SharedState,
+    session: Session,
+    statement: Statement,
+    reply: Reply,
+    took_s: float,
+    route: Route | None,
+) -> None:
+    def told() -> dict[str, Any]:
+        access = _access(session, statement)
+        reading = None if route is None else type(route.consistency).__name__
+        return {"access": access, "reading": reading, **_believed(state, route)}
+
+    state.log.answered(session, statement, reply, took_s, told)
+
+
+def _access(session: Session, statement: Statement) -> str | None:
+    """Return whether a statement reads or writes; None if it does neither."""
+    match statement.body:
+        case Direct(access):
+            return access.value
+        case Execute(name):
+            prepared = session.prepared.get(name)
+            return None if prepared is None else prepared.access.value
+        case _:
+            return None
 
 
 def _believed(state: SharedState, route: Route | None) -> dict[str, Any]:
--- /dev/null
+++ b/wharftiller/run_report.py
@@ -0,0 +1,136 @@
+"""Tables of a run from the decision logs of its boxes: who served reads, gaps, refusals."""
+
+from __future__ import annotations
+
+import collections
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from wharftiller.decision_story import LoggedEvent
+
+SLICE_S = 2.0
+"""Time that one row of the table of refusals stands for, in seconds."""
+
+
+@attrs.frozen
+class ReadShare:
+    """Who served the sampled reads of one kind of reading."""
+
+    reading: str
+    by_replicas: int
+    by_primaries: int
+
+    @property
+    def part(self) -> float:
+        """Part of the reads that replicas served."""
+        return self.by_replicas / max(1, self.by_replicas + self.by_primaries)
+
+
+@attrs.frozen
+class ChangeOfPrimary:
+    """One promotion that was ordered.
+
+    Attributes
+    ----------
+    silent_s : float or None
+        Time from the first box that found the old primary silent to its record of the
+        new one, in seconds; None for a planned change or where no box told.
+    change_s : float
+        Time from the decision to the record, in seconds.
+    """
+
+    group: str
+    old: str
+    successor: str
+    planned: bool
+    silent_s: float | None
+    change_s: float
+
+
+@attrs.frozen
+class RunReport:
+    """What the logs of a run tell.
+
+    Attributes
+    ----------
+    refusals : dict
+        Refused statements by slice of time (start in seconds after the first line) and reason.
+    """
+
+    reads: list[ReadShare]
+    changes: list[ChangeOfPrimary]
+    refusals: dict[tuple[float, str], int]
+
+
+def report_of(events: Iterable[LoggedEvent]) -> RunReport:
+    """Return the report of a run; lines that were left out by rate are not in it."""
+    ordered = sorted(events, key=lambda each: each.at)
+    first = ordered[0].at if ordered else 0.0
+    return RunReport(_reads(ordered), _changes(ordered), _refusals(ordered, first))
+
+
+def _reads(ordered: list[LoggedEvent]) -> list[ReadShare]:
+    counts: dict[str, list[int]] = collections.defaultdict(lambda: [0, 0])
+    for event in ordered:
+        fields = event.fields
+        if event.event == "answered" and fields.get("access") == "read" and fields.get("endpoint"):
+            by_primary = fields["endpoint"] == fields.get("lead")
+            counts[str(fields.get("reading"))][by_primary] += 1
+    return [
+        ReadShare(reading, replicas, primaries)
+        for reading, (replicas, primaries) in sorted(counts.items())
+    ]
+
+
+def _changes(ordered: list[LoggedEvent]) -> list[ChangeOfPrimary]:
+    started: dict[tuple[str, str], LoggedEvent] = {}
+    ordered_at: dict[str, LoggedEvent] = {}
+    changes = []
+    for event in ordered:
+        group = str(event.fields.get("group"))
+        match event.event:
+            case "change_of_primary_starts":
+                started[event.box, group] = event
+            case "promotion_ordered" if event.fields.get("ok"):
+                ordered_at[event.box] = event
+            case "record_written" if event.box in ordered_at:
+                order = ordered_at.pop(event.box)
+                group = str(order.fields["group"])
+                start = started.get((event.box, group))
+                if start is not None:
+                    changes.append(_change(ordered, group, start, order, event))
+    return changes
+
+
+def _change(
+    ordered: list[LoggedEvent],
+    group: str,
+    start: LoggedEvent,
+    order: LoggedEvent,
+    written: LoggedEvent,
+) -> ChangeOfPrimary:
+    old = str(start.fields.get("old"))
+    silent_at = [
+        event.at
+        for event in ordered
+        if event.event == "endpoint_silent"
+        and event.fields.get("endpoint") == old
+        and event.at <= start.at
+    ]
+    silent_s = written.at - silent_at[-1] if silent_at else None
+    successor = str(order.fields.get("endpoint"))
+    planned = bool(start.fields.get("planned"))
+    return ChangeOfPrimary(group, old, successor, planned, silent_s, written.at - start.at)
+
+
+def _refusals(ordered: list[LoggedEvent], first: float) -> dict[tuple[float, str], int]:
+    counts: collections.Counter[tuple[float, str]] = collections.Counter()
+    for event in ordered:
+        if event.event in ("refused", "unsettled"):
+            begin = (event.at - first) // SLICE_S * SLICE_S
+            counts[begin, str(event.fields.get("reason"))] += 1
+    return dict(sorted(counts.items()))
--- /dev/null
+++ b/wharftiller/tests/platform/test_stops.py
@@ -0,0 +1,122 @@
+"""Planned stops and reloads: nothing asked is cut, and callers have time to go elsewhere."""
+
+from __future__ import annotations
+
+import trio
+
+from wharftiller.daemons.sessions.isolation import BALANCER_SEES_S
+from wharftiller.tests.platform.world import BoxProcess, Caller, World, run_in_world
+
+GRACE_S = 6.0
+
+
+async def stop(world: World, box: BoxProcess) -> None:
+    """Tell a box to stop and wait until it has."""
+    box.told.set()
+    with trio.fail_after(GRACE_S):
+        await box.ended.wait()
+    world.network.kill(box.ip)
+
+
+class TestStop:
+    def test_a_stopping_box_is_unready_at_once_and_serves_until_the_balancer_knows(self) -> None:
+        async def story(world: World) -> None:
+            box = world.boxes["box-1"]
+            caller = await world.call(box, "primary")
+            told_at = trio.current_time()
+            box.told.set()
+            await trio.sleep(0.01)
+            assert not box.process.proxy.is_ready  # type: ignore[union-attr]
+            while trio.current_time() < told_at + BALANCER_SEES_S - 0.1:
+                assert (await caller.ask("WRITE seat1 anna"))[0] == "ROW written"
+                await trio.sleep(0.05)
+            assert await caller.line() is None
+            assert trio.current_time() - told_at < BALANCER_SEES_S + 0.2
+
+        run_in_world(story)
+
+    def test_an_open_transaction_may_end_in_the_first_half_of_the_grace(self) -> None:
+        async def story(world: World) -> None:
+            box = world.boxes["box-1"]
+            caller = await world.call(box, "primary")
+            await caller.ask("BEGIN")
+            await caller.ask("WRITE seat1 anna")
+            box.told.set()
+            await trio.sleep(GRACE_S / 2 - 0.2)
+            assert (await caller.ask("COMMIT"))[0].startswith("COMPLETE ")
+            assert await caller.line() is None
+            assert [record.writes for record in world.groups[0].primary.log]
+
+        run_in_world(story)
+
+    def test_a_statement_that_runs_at_the_end_is_still_answered(self) -> None:
+        async def story(world: World) -> None:
+            world.groups[0].work_s = 0.7
+            box = world.boxes["box-1"]
+            caller = await world.call(box, "primary")
+            box.told.set()
+            await trio.sleep(BALANCER_SEES_S - 0.1)
+            assert (await caller.ask("WRITE seat1 anna"))[0] == "ROW written"
+            assert await caller.line() is None
+
+        run_in_world(story)
+
+    def test_stops_in_series_cut_no_statement(self) -> None:
+        async def story(world: World) -> None:
+            unanswered: list[str] = []
+            done = trio.Event()
+
+            async def session(number: int) -> None:
+                turn = 0
+                while not done.is_set():
+                    ready = [
+                        box
+                        for box in world.boxes.values()
+                        if box.process.proxy is not None and box.process.proxy.is_ready
+                    ]
+                    caller = await world.call(ready[number % len(ready)], "primary")
+                    turn = await write_until_closed(caller, number, turn)
+
+            async def write_until_closed(caller: Caller, number: int, turn: int) -> int:
+                while not done.is_set():
+                    turn += 1
+                    asked_at = trio.current_time()
+                    try:
+                        answer = await caller.ask(f"WRITE seat{number} guest{turn}")
+                    except trio.BrokenResourceError:
+                        # Its session was closed at rest: nothing was sent.
+                        return turn
+                    if not answer:
+                        # A statement may cross its session's close, but not wait for it.
+                        if trio.current_time() - asked_at > 0.1:
+                            unanswered.append(f"{number}/{turn}")
+                        return turn
+                    if answer[0] != "ROW written":
+                        unanswered.append(answer[0])
+                    await trio.sleep(0.03)
+                return turn
+
+            async with trio.open_nursery() as nursery:
+                for number in range(6):
+                    nursery.start_soon(session, number)
+                for number in (1, 2, 3, 1):
+                    await stop(world, world.boxes[f"box-{number}"])
+                    await world.start_box(number, "abc"[number - 1])
+                    await trio.sleep(1.5)
+                done.set()
+            assert unanswered == []
+
+        run_in_world(story)
+
+
+class TestReload:
+    def test_unusable_settings_end_nothing(self) -> None:
+        async def story(world: World) -> None:
+            box = world.boxes["box-1"]
+            caller = await world.call(box, "primary")
+            for _ in range(3):
+                box.process._reload()
+                assert (await caller.ask("WRITE seat1 anna"))[0] == "ROW written"
+            assert len(box.events("settings_unusable")) == 3
+
+        run_in_world(story)
--- /dev/null
+++ b/wharftiller/tests/test_run_report.py
@@ -0,0 +1,89 @@
+"""Tables of a run from the logs of its boxes."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+
+import pytest
+import trio
+from typer.testing import CliRunner
+
+from wharftiller.cli.wharfctl import app
+from wharftiller.decision_story import read_events
+from wharftiller.run_report import RunReport, report_of
+from wharftiller.tests.platform.world import World, run_in_world
+
+
+def line(at: float, event: str, **fields: object) -> str:
+    return json.dumps({"event": event, **fields, "at": at, "part": "proxy", "box": "box-1"})
+
+
+def read(at: float, endpoint: str) -> str:
+    return line(
+        at, "answered", access="read", reading="BoundedReads", endpoint=endpoint, lead="one"
+    )
+
+
+LINES = [
+    read(1.0, "one"),
+    read(1.1, "two"),
+    read(1.2, "two"),
+    line(1.3, "answered", access="write", reading="PrimaryReads", endpoint="one", lead="one"),
+    line(5.0, "endpoint_silent", endpoint="one"),
+    line(5.2, "refused", reason="no_capacity"),
+    line(5.3, "refused", reason="no_capacity"),
+    line(6.0, "change_of_primary_starts", group="seats", old="one", planned=False),
+    line(6.1, "record_written", revision=3),
+    line(6.4, "promotion_ordered", group="seats", endpoint="two", ok=True),
+    line(6.8, "record_written", revision=4),
+]
+
+
+@pytest.fixture
+def told() -> RunReport:
+    return report_of(read_events(LINES))
+
+
+class TestReport:
+    def test_reads_are_told_by_who_served_them(self, told: RunReport) -> None:
+        (share,) = told.reads
+        assert (share.reading, share.by_replicas, share.by_primaries) == ("BoundedReads", 2, 1)
+
+    def test_a_change_is_timed_from_silence_and_from_the_decision(self, told: RunReport) -> None:
+        (change,) = told.changes
+        assert (change.old, change.successor) == ("one", "two")
+        assert change.silent_s == pytest.approx(1.8)
+        assert change.change_s == pytest.approx(0.8)
+
+    def test_refusals_are_counted_by_time_and_reason(self, told: RunReport) -> None:
+        assert told.refusals == {(4.0, "no_capacity"): 2}
+
+    def test_nothing_logged_is_an_empty_report(self) -> None:
+        assert report_of([]) == RunReport([], [], {})
+
+    def test_the_command_prints_tables_and_draws_them(self, tmp_path: Path) -> None:
+        log, picture = tmp_path / "box.log", tmp_path / "run.svg"
+        log.write_text("\n".join(LINES))
+        result = CliRunner().invoke(app, ["report", str(log), "--svg", str(picture)])
+        assert result.exit_code == 0, result.output
+        assert "Changes of primary" in result.output
+        assert "<svg" in picture.read_text()
+
+    def test_the_logs_of_a_run_make_a_report(self) -> None:
+        async def story(world: World) -> None:
+            box = world.boxes["box-1"]
+            desk = await world.call(box, "primary")
+            reader = await world.call(box, "bounded_staleness")
+            await desk.ask("READ seat1")
+            for _ in range(300):
+                await reader.ask("READ seat1")
+            world.kill_server(world.groups[0].primary)
+            await trio.sleep(6)
+            lines = [json.dumps(each) for other in world.boxes.values() for each in other.log()]
+            report = report_of(read_events(lines))
+            assert [share.reading for share in report.reads] == ["BoundedReads"]
+            assert report.reads[0].by_replicas > 0
+            assert [change.planned for change in report.changes] == [False]
+
+        run_in_world(story)
