--- a/wharftiller/tests/platform/test_changes_of_primary.py
+++ b/wharftiller/tests/platform/test_changes_of_primary.py
@@ -161,6 +161,67 @@
         run_in_world(story, groups=[make_group(sync_replicas=1)])
 
 
+class TestLeavingWithoutAWord:
+    """An endpoint's entry goes although it never said that it is leaving."""
+
+    DRAIN_S = 7.0
+    """Time from the entry's end after which nothing may be sent, in seconds."""
+
+    def test_a_primary_hands_over_before_it_ends(self) -> None:
+        async def story(world: World) -> None:
+            group = world.groups[0]
+            old = group.primary
+            caller = await world.call(world.boxes["box-1"], "primary")
+            await caller.ask("WRITE seat0 anna")
+            world.store.remove("servers", old.name)
+            gone_at = last_at = trio.current_time()
+            longest_s = 0.0
+            while trio.current_time() < gone_at + self.DRAIN_S:
+                if (await caller.ask("WRITE seat1 boris"))[0] == "ROW written":
+                    longest_s = max(longest_s, trio.current_time() - last_at)
+                    last_at = trio.current_time()
+                await trio.sleep(0.02)
+            assert longest_s < 1.0
+            assert group.primary is not old
+            started = len(old.started)
+            for _ in range(20):
+                assert (await caller.ask("WRITE seat1 vera"))[0] == "ROW written"
+            assert len(old.started) == started
+            assert (await caller.ask("READ seat0"))[0] == "ROW anna"
+
+        run_in_world(story)
+
+    def test_a_replica_gets_nothing_after_the_bound(self) -> None:
+        async def story(world: World) -> None:
+            group = world.groups[0]
+            replica = group.servers[1]
+            desk = await world.call(world.boxes["box-2"], "primary")
+            reader = await world.call(world.boxes["box-2"], "bounded_staleness")
+            await desk.ask("READ seat1")
+            world.store.remove("servers", replica.name)
+            await trio.sleep(self.DRAIN_S)
+            started = len(replica.started)
+            for _ in range(30):
+                assert (await reader.ask("READ seat1"))[0] == "ROW none"
+            assert len(replica.started) == started
+
+        run_in_world(story)
+
+    def test_an_entry_that_lapsed_while_the_store_was_away_changes_nothing(self) -> None:
+        async def story(world: World) -> None:
+            group = world.groups[0]
+            world.store.mood = Mood.AWAY
+            await trio.sleep(4.0)
+            world.store.remove("servers", group.primary.name)
+            world.store.mood = Mood.WELL
+            await trio.sleep(2.0)
+            world.register(group.primary)
+            await trio.sleep(6.0)
+            assert group.promotions == []
+
+        run_in_world(story)
+
+
 class TestPlanned:
     def test_a_leaving_primary_hands_over_without_losing_a_write(self) -> None:
         async def story(world: World) -> None:
