Take an endpoint's entry that came back unchanged as being back

Cause: the list of endpoints was passed over where it equalled the entries of the rows that are not gone; a row whose entry was only missing still counted, so an entry that lapsed while the platform was away and came back as it was stayed missing. After 2.5 s the endpoint counted as gone, its connections were closed, and a primary was replaced after 4.8 s. Ruled out: a watch that told nothing (the list was read anew and held the entry). Change: a list is passed over only if every row in it is listed already.

--- a/wharftiller/core/sessions/endpoints.py
+++ b/wharftiller/core/sessions/endpoints.py
@@ -79,6 +79,11 @@
         """The endpoint's name."""
         return self.entry.name
 
+    @property
+    def is_listed(self) -> bool:
+        """Whether its entry stood in the newest list known."""
+        return not self.gone and self.missing_since is None
+
     def may_still_lead(self, now: float) -> bool:
         """Return whether a primary that is about to end may still be sent statements."""
         return self.leaving_since is None or now - self.leaving_since < LEAVING_PRIMARY_S
--- a/wharftiller/daemons/sessions/state.py
+++ b/wharftiller/daemons/sessions/state.py
@@ -127,7 +127,7 @@
         if revision <= self.endpoints_revision:
             return False
         listed = {entry.name: entry for entry in entries}
-        if listed == {name: row.entry for name, row in self.rows.items() if not row.gone}:
+        if listed == {name: row.entry for name, row in self.rows.items() if row.is_listed}:
             return False
         self.endpoints_revision = revision
         for name, entry in listed.items():
