Bound callers' connections by the descriptors there are; a socket that cannot be had ends nothing

Cause: accepted connections were not bounded, and where descriptors run out the creation of a socket raised OSError outside the handled part, which no background task expects: the process would end (probes, rounds). Change: as many sessions as the settings' limit less 800 descriptors, further ones refused with when to come back; a socket that cannot be created is a failed exchange. test_running_out_of_descriptors_is_an_exchange_that_failed failed before; the limit is new.

--- a/wharftiller/edges/transport.py
+++ b/wharftiller/edges/transport.py
@@ -71,7 +71,11 @@
         """Open a TCP stream to ``ip:port``."""
         host, port = split_address(address)
         family = trio.socket.AF_INET6 if ":" in host else trio.socket.AF_INET
-        sock = trio.socket.socket(family)
+        try:
+            sock = trio.socket.socket(family)
+        except OSError as error:
+            # Descriptors have run out; the caller goes on as if nobody answered.
+            raise ExchangeError(f"no socket for {address}: {error.strerror}") from error
         try:
             await sock.connect((host, port))
         except OSError as error:
--- a/wharftiller/platform/__main__.py
+++ b/wharftiller/platform/__main__.py
@@ -69,7 +69,7 @@
         async with trio.open_nursery() as nursery:
             proxy = self.proxy = self._compose(nursery)
             self._log.change("started", pid=os.getpid(), data_centre=settings.data_centre)
-            callers = CallerServer(proxy)
+            callers = CallerServer(proxy, settings.max_sessions)
             await nursery.start(self._transport.serve, settings.callers, callers.serve)
             await nursery.start(self._transport.serve, settings.ready, self._answer_ready(proxy))
             await nursery.start(self._transport.serve, settings.boxes, self._http(proxy.handle_box))
--- a/wharftiller/platform/callers.py
+++ b/wharftiller/platform/callers.py
@@ -51,15 +51,29 @@
 
 
 class CallerServer:
-    """Serves callers' connections."""
+    """Serves callers' connections, up to a number at once.
 
-    def __init__(self, proxy: SessionProxy) -> None:
+    Parameters
+    ----------
+    max_sessions : int
+        Connections beyond it are refused, so that descriptors are left for the rest.
+    """
+
+    def __init__(self, proxy: SessionProxy, max_sessions: int) -> None:
         self._proxy = proxy
+        self._max_sessions = max_sessions
+        self._open = 0
 
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Serve one connection until either side ends it."""
         reader = LineReader(stream)
+        self._open += 1
         try:
+            if self._open > self._max_sessions:
+                self._proxy.state.log.event("caller_refused", open=self._open - 1)
+                detail = f"{self._max_sessions} sessions are open here; come back in 1000 ms"
+                await self._refuse(stream, RefusalKind.TOO_MANY_CONNECTIONS, detail)
+                return
             await self._serve(stream, reader)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
@@ -68,6 +82,8 @@
         except Exception as error:
             # A fault in one session must not end the others'.
             self._proxy.state.log.change("session_failed", why=repr(error))
+        finally:
+            self._open -= 1
 
     async def _serve(self, stream: trio.abc.Stream, reader: LineReader) -> None:
         line: bytes | None = None
--- a/wharftiller/platform/settings.py
+++ b/wharftiller/platform/settings.py
@@ -14,6 +14,16 @@
 """Port of the page of metrics; deploy/system.toml names it to the platform."""
 
 
+OWN_DESCRIPTORS = 800
+"""Descriptors kept for files (the platform's 200), endpoints, other boxes and the platform.
+
+Twelve endpoints with a few connections each and 72 boxes need some 300.
+"""
+
+DEFAULT_MAX_SESSIONS = 3_400
+"""Callers' connections taken where no limit of descriptors is given; the lowest seen is 4,200."""
+
+
 class PlatformSettingsError(WharfError):
     """The settings file lacks something or holds something unusable."""
 
@@ -39,6 +49,8 @@
         Time from being told to stop until being killed, in seconds.
     first_start : bool
         Whether the whole deployment starts for the first time.
+    max_sessions : int
+        Callers' connections taken at once.
     """
 
     box: str
@@ -53,6 +65,13 @@
     duties: str
     grace_s: float
     first_start: bool = False
+    max_sessions: int = DEFAULT_MAX_SESSIONS
+
+
+def _max_sessions(limits: dict[str, Any]) -> int:
+    """Return how many callers' connections leave enough descriptors for the rest."""
+    descriptors = int(limits.get("MaxFds") or DEFAULT_MAX_SESSIONS + OWN_DESCRIPTORS)
+    return max(1, descriptors - OWN_DESCRIPTORS)
 
 
 def load_settings(path: str) -> ProcessSettings:
@@ -83,6 +102,7 @@
             duties=str(value["CloudApi"]["Address"]),
             grace_s=float(value["Bounds"]["GraceS"]),
             first_start=value.get("FirstStart") is True,
+            max_sessions=_max_sessions(value.get("Limits") or {}),
         )
     except (KeyError, TypeError, ValueError, IndexError) as error:
         raise PlatformSettingsError(
--- a/wharftiller/tests/platform/test_bad_input.py
+++ b/wharftiller/tests/platform/test_bad_input.py
@@ -11,8 +11,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from wharftiller.core.errors import BadRequestError, PlatformUnavailableError
+from wharftiller.core.errors import BadRequestError, ExchangeError, PlatformUnavailableError
 from wharftiller.edges.leadership_json import record_from_json
+from wharftiller.edges.transport import TcpTransport
 from wharftiller.platform.objects import decode_configuration
 from wharftiller.platform.settings import PlatformSettingsError, load_settings
 from wharftiller.platform.store import parse_object
@@ -76,6 +77,29 @@
 
         run_in_world(story, boxes=1)
 
+    def test_connections_beyond_the_descriptors_are_refused(self) -> None:
+        async def story(world: World) -> None:
+            open_ = [await world.call(world.boxes["box-1"], "primary") for _ in range(20)]
+            stream = await world.network.host("10.8.0.2").connect("10.1.0.1:1")
+            assert (await stream.receive_some()).startswith(b"ERROR OVERLOAD 20 sessions")
+            assert await stream.receive_some() == b""
+            open_[0].close()
+            await trio.sleep(0.1)
+            caller = await world.call(world.boxes["box-1"], "primary")
+            assert (await caller.ask("WRITE seat1 anna"))[0] == "ROW written"
+
+        run_in_world(story, boxes=1, max_sessions=20)
+
+    def test_running_out_of_descriptors_is_an_exchange_that_failed(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        def none_left(*_: Any) -> Any:
+            raise OSError(24, "Too many open files")
+
+        monkeypatch.setattr(trio.socket, "socket", none_left)
+        with pytest.raises(ExchangeError, match="Too many open files"):
+            trio.run(TcpTransport().connect, "127.0.0.1:1")
+
 
 class TestObjects:
     def test_objects_of_unknown_shape_are_passed_over(self) -> None:
@@ -142,6 +166,16 @@
         with pytest.raises(PlatformSettingsError, match=missing):
             load_settings(str(path))
 
+    @pytest.mark.parametrize(
+        ("limits", "sessions"), [({"MaxFds": 4200}, 3400), ({}, 3400), ({"MaxFds": 500}, 1)]
+    )
+    def test_sessions_leave_descriptors_for_the_rest(
+        self, limits: dict[str, int], sessions: int, tmp_path: Path
+    ) -> None:
+        path = tmp_path / "settings.json"
+        path.write_bytes(orjson.dumps({**self.SETTINGS, "Limits": limits}))
+        assert load_settings(str(path)).max_sessions == sessions
+
     @pytest.mark.parametrize("content", [b"", b"{", b"[]", b"null"])
     def test_a_file_without_settings_is_refused(self, content: bytes, tmp_path: Path) -> None:
         path = tmp_path / "settings.json"
--- a/wharftiller/tests/platform/world.py
+++ b/wharftiller/tests/platform/world.py
@@ -122,8 +122,11 @@
 class World:
     """Everything on one network."""
 
-    def __init__(self, nursery: trio.Nursery, groups: list[LineGroup]) -> None:
+    def __init__(
+        self, nursery: trio.Nursery, groups: list[LineGroup], max_sessions: int = 3_400
+    ) -> None:
         self._nursery = nursery
+        self._max_sessions = max_sessions
         self.network = FakeNetwork(lambda a, b: 0.001)
         self.groups = groups
         self.store = ObjectStoreStandIn(groups)
@@ -181,6 +184,7 @@
             store=STORE,
             duties=STORE,
             grace_s=6.0,
+            max_sessions=self._max_sessions,
         )
         lines = bytearray()
 
@@ -231,11 +235,11 @@
 
 @asynccontextmanager
 async def running_world(
-    boxes: int = 3, groups: list[LineGroup] | None = None
+    boxes: int = 3, groups: list[LineGroup] | None = None, max_sessions: int = 3_400
 ) -> AsyncIterator[World]:
     """Run a world whose boxes know one another."""
     async with trio.open_nursery() as nursery:
-        world = World(nursery, groups or [make_group()])
+        world = World(nursery, groups or [make_group()], max_sessions)
         await world.start()
         for number in range(1, boxes + 1):
             await world.start_box(number, "abc"[(number - 1) % 3])
@@ -249,11 +253,12 @@
     *,
     boxes: int = 3,
     groups: list[LineGroup] | None = None,
+    max_sessions: int = 3_400,
 ) -> None:
     """Run ``story`` in virtual time."""
 
     async def main() -> None:
-        async with running_world(boxes, groups) as world:
+        async with running_world(boxes, groups, max_sessions) as world:
             await story(world)
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
