Run fewer statements at once on an endpoint that is too busy

Ruled out: a fixed limit: nothing on the wire tells how many an endpoint queues. Change: additive increase, multiplicative decrease of the statements that a box runs at once on an endpoint; the others wait in the order of their routes' priority. Transactions that rest between statements take no place.

--- a/wharftiller/daemons/sessions/pool.py
+++ b/wharftiller/daemons/sessions/pool.py
@@ -10,10 +10,12 @@
 import trio
 
 from wharftiller.core.errors import EndpointRefusedError, ExchangeError
+from wharftiller.core.sessions.concurrency import ConcurrencyLimit
 from wharftiller.core.sessions.statements import (
     EndpointQuery,
     Prepare,
     PreparedStatement,
+    RefusalKind,
     Reply,
     ResetSession,
     SessionState,
@@ -60,6 +62,8 @@
         The names that it knows prepared statements by.
     broken : bool
         Whether it must not be used again.
+    asking : bool
+        Whether a statement runs on it.
     """
 
     number: int
@@ -70,6 +74,7 @@
     prepared: dict[PreparedStatement, str] = attrs.field(factory=dict)
     idle_since: float = 0.0
     broken: bool = False
+    asking: bool = False
 
     async def ask(self, query: EndpointQuery) -> Reply:
         """Run one statement; the connection is useless unless an answer comes.
@@ -82,14 +87,21 @@
         row = self.pool.row
         row.sent(self.number, trio.current_time())
         done = False
+        self.asking = True
         try:
             reply = await self.link.ask(query)
             done = True
         finally:
+            self.asking = False
+            self.pool.wake_next()
             if not done:
                 self.broken = True
                 row.given_up(self.number, trio.current_time())
         row.answered(self.number, trio.current_time(), reply.position)
+        if reply.refusal is not None and reply.refusal.kind is RefusalKind.NO_CAPACITY:
+            self.pool.note_busy()
+        else:
+            self.pool.note_answered()
         return attrs.evolve(reply, endpoint=row.name)
 
     async def take_on(
@@ -156,6 +168,7 @@
     _all: set[PooledConnection] = attrs.field(factory=set)
     _opening: int = 0
     _waiters: list[tuple[int, int, trio.Event]] = attrs.field(factory=list)
+    _limit: ConcurrencyLimit = attrs.field(factory=ConcurrencyLimit)
     _refused_until: float = 0.0
 
     @property
@@ -173,6 +186,25 @@
         """Connections open or opening."""
         return len(self._all) + self._opening
 
+    @property
+    def _running(self) -> int:
+        """Connections on which a statement runs, or that are opening.
+
+        Those of transactions that rest between statements take nothing of the endpoint.
+        """
+        return sum(1 for each in self._all if each.asking) + self._opening
+
+    def note_busy(self) -> None:
+        """Note that the endpoint was too busy for a statement: fewer run at once from now on."""
+        self._limit.busy(self._running, trio.current_time())
+
+    def note_answered(self) -> None:
+        """Note an answer; one that lets another statement run wakes who waits for it."""
+        before = self._limit.places(self.share() + EXTRA_CONNECTIONS)
+        self._limit.answered()
+        if self._limit.places(self.share() + EXTRA_CONNECTIONS) > before:
+            self.wake_next()
+
     async def acquire(self, session: Session, priority: int) -> PooledConnection:
         """Return a connection for one session's use, waiting for one if need be.
 
@@ -183,8 +215,12 @@
         ExchangeError
             If it cannot be reached.
         """
+        ticket = next(self._numbers)
         while True:
             self._drop_closed()
+            if self._running >= self._limit.places(self.share() + EXTRA_CONNECTIONS):
+                await self._wait(priority, ticket)
+                continue
             if self._idle:
                 return self._take_idle(session)
             now = trio.current_time()
@@ -195,7 +231,7 @@
             elif not self._all:
                 raise EndpointRefusedError(f"{self.row.name} has no free place", at_limit=True)
             else:
-                await self._wait(priority)
+                await self._wait(priority, ticket)
 
     def _drop_closed(self) -> None:
         """Close idle connections that the endpoint has closed."""
@@ -214,10 +250,10 @@
         self._idle.remove(connection)
         return connection
 
-    async def _wait(self, priority: int) -> None:
+    async def _wait(self, priority: int, ticket: int) -> None:
         """Wait for a connection; the lower ``priority`` goes first, then who came first."""
         woken = trio.Event()
-        entry = (priority, next(self._numbers), woken)
+        entry = (priority, ticket, woken)
         heapq.heappush(self._waiters, entry)
         try:
             await woken.wait()
@@ -226,10 +262,11 @@
                 self._waiters.remove(entry)
                 heapq.heapify(self._waiters)
             else:
-                self._wake_next()
+                self.wake_next()
             raise
 
-    def _wake_next(self) -> None:
+    def wake_next(self) -> None:
+        """Wake who waits first."""
         if self._waiters:
             heapq.heappop(self._waiters)[2].set()
 
@@ -254,7 +291,7 @@
         finally:
             self._opening -= 1
             if not self._all:
-                self._wake_next()
+                self.wake_next()
         self.row.heard(trio.current_time())
         connection = PooledConnection(next(self._numbers), self, link, self.via)
         self._all.add(connection)
@@ -278,7 +315,7 @@
         elif connection in self._all:
             connection.idle_since = trio.current_time()
             self._idle.append(connection)
-        self._wake_next()
+        self.wake_next()
 
     def trim(self, now: float) -> None:
         """Close idle connections beyond the share that were not used lately."""
@@ -302,4 +339,4 @@
             self._all.discard(connection)
             connection.link.close()
         self._idle.clear()
-        self._wake_next()
+        self.wake_next()
--- a/wharftiller/tests/platform/test_whole_path.py
+++ b/wharftiller/tests/platform/test_whole_path.py
@@ -205,6 +205,43 @@
         run_in_world(story)
 
 
+class TestBusyEndpoint:
+    def test_a_resting_transaction_keeps_nobody_waiting(self) -> None:
+        """Only statements that run count against a busy endpoint's limit."""
+
+        async def story(world: World) -> None:
+            box = world.boxes["box-1"]
+            resting = [await world.call(box, "primary") for _ in range(2)]
+            for caller in resting:
+                await caller.ask("BEGIN")
+                await caller.ask("WRITE seat1 anna")
+            pool = box.process.proxy.state.pools["seats-0"]  # type: ignore[union-attr]
+            for _ in range(6):
+                pool.note_busy()
+                await trio.sleep(0.2)
+            caller = await world.call(box, "primary")
+            started = trio.current_time()
+            assert (await caller.ask("READ seat2"))[0] == "ROW none"
+            assert trio.current_time() - started < 0.1
+
+        run_in_world(story)
+
+    def test_refused_statements_wait_instead_of_asking_again_at_once(self) -> None:
+        async def story(world: World) -> None:
+            group = world.groups[0]
+            box = world.boxes["box-1"]
+            callers = [await world.call(box, "primary") for _ in range(4)]
+            group.primary.busy_answers = 3
+            pool = box.process.proxy.state.pools["seats-0"]  # type: ignore[union-attr]
+            async with trio.open_nursery() as nursery:
+                for caller in callers:
+                    nursery.start_soon(caller.ask, "READ seat1")
+            assert pool._limit.places(10) < 10
+            assert (await callers[0].ask("READ seat1"))[0] == "ROW none"
+
+        run_in_world(story)
+
+
 class TestConnections:
     def test_an_endpoint_that_is_only_slow_keeps_its_connections(self) -> None:
         async def story(world: World) -> None:
