Send callers to whichever side of a cut has most primaries

Ruled out: unready whenever most primaries are silent (beside dark primaries all would be); no limit in time (a silent data centre may be dead: then all boxes would stay unready). Change: a box is isolated if most groups' primaries cannot be used and stand in data centres of which no box answers, whichever side is larger. Where it hears some other data centre that lasts 6 s at most: by then the primaries beyond the cut are being replaced on its side.

--- a/wharftiller/daemons/sessions/isolation.py
+++ b/wharftiller/daemons/sessions/isolation.py
@@ -1,10 +1,11 @@
-"""Notice that this box is parted from the rest and serves its callers badly.
-
-In a cut-off data centre most primaries are out of reach: writes are refused, and
-reads too once nothing known is new enough. Boxes elsewhere still serve. Such a box
-tells the balancer that it is not ready, so that new sessions go to them. Once the
-balancer has seen that, it closes the sessions at rest that it cannot serve: they
-open again elsewhere. All others are served as far as it can.
+"""Notice that this box is parted from most primaries and serves its callers badly.
+
+In a data centre that a cut parts from most groups' primaries, writes to them are
+refused, and reads too once nothing known is new enough. Boxes on the primaries' side
+still serve. A box that cannot use most primaries, and hears no box of the data centres
+where those stand, tells the balancer that it is not ready, so that new sessions go
+to the other side. Once the balancer has seen that, it closes the sessions at rest that
+it cannot serve: they open again elsewhere. All others are served as far as it can.
 """
 
 from __future__ import annotations
@@ -16,6 +17,8 @@
 from wharftiller.core.rendezvous import ranked
 
 if TYPE_CHECKING:
+    from collections.abc import Collection
+
     from wharftiller.daemons.sessions.boxes import Box, BoxDirectory
     from wharftiller.daemons.sessions.callers import SessionServer
     from wharftiller.daemons.sessions.state import SharedState
@@ -24,13 +27,13 @@
 """Time between looks at whether the groups can be served, in seconds."""
 
 UNUSABLE_PART = 0.5
-"""A box is cut off only if more than this part of the groups' primaries cannot be used.
+"""A box is isolated only if more than this part of the groups' primaries is beyond a cut.
 
 Of two sides of a cut at most one is short of more than half of them.
 """
 
 ASKED_ELSEWHERE = 2
-"""Boxes of each other data centre asked before the rest counts as out of reach."""
+"""Boxes of another data centre asked before it counts as silent."""
 
 ASK_TIMEOUT_S = 0.25
 """Time a box elsewhere has to answer, in seconds: ninety round trips between data centres."""
@@ -39,8 +42,16 @@
 """Time until the balancer has taken an unready box out, in seconds: two missed looks, 1 s apart."""
 
 
+ISOLATED_MOST_S = 6.0
+"""Time for which a box that hears some other data centre stays isolated, in seconds.
+
+The silent side may be dead instead of cut off; by then (2 s and the leases of 6 s, from
+the cut on) its primaries are being replaced on this side.
+"""
+
+
 class IsolationWatch:
-    """Watches whether this box is parted from the others and most primaries."""
+    """Watches whether this box is parted from most primaries and the boxes beside them."""
 
     def __init__(
         self, state: SharedState, directory: BoxDirectory, sessions: SessionServer
@@ -50,6 +61,8 @@
         self._sessions = sessions
         self._since: float | None = None
         self._sent_away = False
+        self._silent: frozenset[str] = frozenset()
+        self._given_up = False
 
     @property
     def is_isolated(self) -> bool:
@@ -60,21 +73,46 @@
         """Look for ever."""
         while True:
             await trio.sleep(LOOK_S)
-            suspected = self.is_isolated or self._most_are_unusable()
-            isolated = suspected and not await self._anyone_answers()
-            if isolated != self.is_isolated:
-                self._changed(isolated)
-            elif isolated:
-                self._send_away()
-
-    def _changed(self, isolated: bool) -> None:
-        self._since = trio.current_time() if isolated else None
-        self._sent_away = False
-        self._state.log.change(
-            "isolated" if isolated else "isolation_ended",
-            unusable=self._unusable(),
-            elsewhere=[box.name for box in self._asked()],
-        )
+            if self.is_isolated:
+                await self._look_again()
+            else:
+                await self._look()
+
+    async def _look(self) -> None:
+        """Look whether most primaries stand in data centres of which no box answers."""
+        away = self._centres_of_unusable()
+        if not self._are_most(away):
+            self._given_up = False
+            return
+        silent = await self._silent_among(frozenset(away.values()))
+        if not silent:
+            self._given_up = False
+        elif not self._given_up:
+            cut = {group: centre for group, centre in away.items() if centre in silent}
+            if self._are_most(cut):
+                self._since = trio.current_time()
+                self._sent_away = False
+                self._silent = silent
+                self._state.log.change("isolated", **self._told())
+
+    async def _look_again(self) -> None:
+        """Look whether a box of the silent data centres answers again, or time is out."""
+        assert self._since is not None
+        silent = await self._silent_among(self._silent)
+        if silent == self._silent and not self._is_time_out():
+            self._send_away()
+            return
+        self._given_up = silent == self._silent
+        self._since = None
+        self._state.log.change("isolation_ended", **self._told())
+
+    def _is_time_out(self) -> bool:
+        assert self._since is not None
+        hears_others = bool(self._elsewhere().keys() - self._silent)
+        return hears_others and trio.current_time() - self._since > ISOLATED_MOST_S
+
+    def _told(self) -> dict[str, list[str]]:
+        return {"unusable": self._unusable(), "silent": sorted(self._silent)}
 
     def _send_away(self) -> None:
         """Close the sessions at rest that cannot be served, once the balancer knows."""
@@ -104,35 +142,37 @@
                 unusable.append(group)
         return unusable
 
-    def _most_are_unusable(self) -> bool:
-        groups = self._state.leases.record.groups
-        return len(self._unusable()) > UNUSABLE_PART * len(groups)
+    def _are_most(self, groups: Collection[str]) -> bool:
+        return len(groups) > UNUSABLE_PART * len(self._state.leases.record.groups)
 
-    def _asked(self) -> list[Box]:
-        """Return the boxes of the other data centres that stand for the rest."""
+    def _centres_of_unusable(self) -> dict[str, str]:
+        """Return the other data centres where primaries stand that cannot be used, by group."""
+        centres = {}
+        for group in self._unusable():
+            row = self._state.rows.get(self._state.lead(group) or "")
+            if row is not None and row.entry.data_centre != self._state.data_centre:
+                centres[group] = row.entry.data_centre
+        return centres
+
+    def _elsewhere(self) -> dict[str, list[str]]:
+        """Return the boxes of every other data centre."""
         elsewhere: dict[str, list[str]] = {}
         for name, box in self._directory.boxes.items():
             if box.data_centre != self._state.data_centre and not box.retired:
                 elsewhere.setdefault(box.data_centre, []).append(name)
-        chosen = []
-        for names in elsewhere.values():
-            chosen += ranked(self._state.box, names)[:ASKED_ELSEWHERE]
-        return [self._directory.boxes[name] for name in chosen]
-
-    async def _anyone_answers(self) -> bool:
-        """Return whether any box of another data centre answers, or there is none to ask."""
-        asked = self._asked()
-        if not asked:
-            return True
-        answered = False
-
-        async def ask(box: Box, scope: trio.CancelScope) -> None:
-            nonlocal answered
+        return elsewhere
+
+    async def _silent_among(self, centres: frozenset[str]) -> frozenset[str]:
+        """Return those of ``centres`` that have boxes, none of which answers."""
+        elsewhere = self._elsewhere()
+        answering: set[str] = set()
+
+        async def ask(box: Box) -> None:
             if await self._directory.is_alive(box, ASK_TIMEOUT_S):
-                answered = True
-                scope.cancel()
+                answering.add(box.data_centre)
 
         async with trio.open_nursery() as nursery:
-            for box in asked:
-                nursery.start_soon(ask, box, nursery.cancel_scope)
-        return answered
+            for centre in centres & elsewhere.keys():
+                for name in ranked(self._state.box, elsewhere[centre])[:ASKED_ELSEWHERE]:
+                    nursery.start_soon(ask, self._directory.boxes[name])
+        return frozenset(centres & elsewhere.keys()) - answering
