Refuse at once what would wait for a place beyond its latency goal

Ruled out: refusing on any queue: most waits are a few milliseconds. Change: a statement waits for a place at most for its route's latency goal, and not at all where those ahead of it (by priority, then by age) are expected to take longer. It is refused with when to come back; a read first tries other endpoints. Nothing was sent: the refusal is true.

--- a/wharftiller/daemons/sessions/choice.py
+++ b/wharftiller/daemons/sessions/choice.py
@@ -9,7 +9,7 @@
 from wharftiller.core.errors import EndpointRefusedError, ExchangeError
 from wharftiller.core.sessions.routing import AnyReplica, need_of_read, replica_order
 from wharftiller.core.sessions.statements import RefusalKind
-from wharftiller.daemons.sessions.routed import StatementRefusedError, come_back
+from wharftiller.daemons.sessions.routed import NoPlaceError, StatementRefusedError, come_back
 
 if TYPE_CHECKING:
     from collections.abc import Set
@@ -115,6 +115,13 @@
             If there is none to be had.
         """
         try:
-            return await self._state.pool(row).acquire(routed.session, routed.route.priority)
-        except (EndpointRefusedError, ExchangeError) as error:
+            route = routed.route
+            return await self._state.pool(row).acquire(
+                routed.session, route.priority, route.latency_goal_s
+            )
+        except EndpointRefusedError as error:
+            if error.at_limit:
+                raise NoPlaceError(str(error)) from error
+            raise StatementRefusedError(RefusalKind.NO_CAPACITY, come_back(str(error))) from error
+        except ExchangeError as error:
             raise StatementRefusedError(RefusalKind.NO_CAPACITY, come_back(str(error))) from error
--- a/wharftiller/daemons/sessions/pool.py
+++ b/wharftiller/daemons/sessions/pool.py
@@ -205,9 +205,15 @@
         if self._limit.places(self.share() + EXTRA_CONNECTIONS) > before:
             self.wake_next()
 
-    async def acquire(self, session: Session, priority: int) -> PooledConnection:
+    async def acquire(self, session: Session, priority: int, patience_s: float) -> PooledConnection:
         """Return a connection for one session's use, waiting for one if need be.
 
+        Parameters
+        ----------
+        patience_s : float
+            Longest wait, in seconds. Where those ahead will take longer than that, it is
+            not begun at all.
+
         Raises
         ------
         EndpointRefusedError
@@ -216,10 +222,11 @@
             If it cannot be reached.
         """
         ticket = next(self._numbers)
+        until = trio.current_time() + patience_s
         while True:
             self._drop_closed()
             if self._running >= self._limit.places(self.share() + EXTRA_CONNECTIONS):
-                await self._wait(priority, ticket)
+                await self._wait(priority, ticket, until)
                 continue
             if self._idle:
                 return self._take_idle(session)
@@ -231,7 +238,7 @@
             elif not self._all:
                 raise EndpointRefusedError(f"{self.row.name} has no free place", at_limit=True)
             else:
-                await self._wait(priority, ticket)
+                await self._wait(priority, ticket, until)
 
     def _drop_closed(self) -> None:
         """Close idle connections that the endpoint has closed."""
@@ -250,20 +257,44 @@
         self._idle.remove(connection)
         return connection
 
-    async def _wait(self, priority: int, ticket: int) -> None:
-        """Wait for a connection; the lower ``priority`` goes first, then who came first."""
+    def _expected_wait_s(self, priority: int, ticket: int) -> float:
+        """Return how long those ahead will take, in seconds."""
+        ahead = sum(1 for each in self._waiters if each[:2] < (priority, ticket))
+        places = max(1, self._limit.places(self.share() + EXTRA_CONNECTIONS))
+        return (ahead + 1) * self.row.service_s / places
+
+    async def _wait(self, priority: int, ticket: int, until: float) -> None:
+        """Wait for a connection; the lower ``priority`` goes first, then who came first.
+
+        Raises
+        ------
+        EndpointRefusedError
+            If none comes by ``until`` (seconds), or surely not by then.
+        """
+        expected_s = self._expected_wait_s(priority, ticket)
+        if trio.current_time() + expected_s > until:
+            detail = f"the queue for {self.row.name} takes {expected_s:.2f} s"
+            raise EndpointRefusedError(detail, at_limit=True)
         woken = trio.Event()
         entry = (priority, ticket, woken)
         heapq.heappush(self._waiters, entry)
         try:
-            await woken.wait()
+            with trio.move_on_at(until):
+                await woken.wait()
+                return
         except trio.Cancelled:
-            if entry in self._waiters:
-                self._waiters.remove(entry)
-                heapq.heapify(self._waiters)
-            else:
-                self.wake_next()
+            self._leave_queue(entry)
             raise
+        self._leave_queue(entry)
+        raise EndpointRefusedError(f"{self.row.name} had no free place in time", at_limit=True)
+
+    def _leave_queue(self, entry: tuple[int, int, trio.Event]) -> None:
+        """Wait no longer; who was woken meanwhile passes that on."""
+        if entry in self._waiters:
+            self._waiters.remove(entry)
+            heapq.heapify(self._waiters)
+        else:
+            self.wake_next()
 
     def wake_next(self) -> None:
         """Wake who waits first."""
--- a/wharftiller/daemons/sessions/probes.py
+++ b/wharftiller/daemons/sessions/probes.py
@@ -177,7 +177,9 @@
 
     async def _ask(self, row: EndpointRow) -> EndpointStatus | None:
         started = trio.current_time()
-        connection = await self._state.pool(row).acquire(PROBE_SESSION, PROBE_PRIORITY)
+        connection = await self._state.pool(row).acquire(
+            PROBE_SESSION, PROBE_PRIORITY, STATUS_TIMEOUT_S
+        )
         try:
             status = await connection.link.status()
         except BaseException:
@@ -197,7 +199,9 @@
             return
         try:
             with trio.move_on_after(STATUS_TIMEOUT_S):
-                connection = await self._state.pool(row).acquire(PROBE_SESSION, PROBE_PRIORITY)
+                connection = await self._state.pool(row).acquire(
+                    PROBE_SESSION, PROBE_PRIORITY, STATUS_TIMEOUT_S
+                )
                 try:
                     await connection.ask(EndpointQuery(Demote(term)))
                 finally:
--- a/wharftiller/daemons/sessions/routed.py
+++ b/wharftiller/daemons/sessions/routed.py
@@ -51,6 +51,13 @@
         self.detail = detail
 
 
+class NoPlaceError(StatementRefusedError):
+    """An endpoint has no place for a statement within its goal; nothing was sent."""
+
+    def __init__(self, why: str) -> None:
+        super().__init__(RefusalKind.NO_CAPACITY, come_back(why))
+
+
 @attrs.frozen
 class RoutedStatement:
     """One statement with everything that decides where it runs and until when.
--- a/wharftiller/daemons/sessions/singles.py
+++ b/wharftiller/daemons/sessions/singles.py
@@ -15,6 +15,7 @@
     BUSY_PAUSE_S,
     BUSY_TRIES,
     READ_TRIES,
+    NoPlaceError,
     StatementRefusedError,
     come_back,
     route_statement,
@@ -122,16 +123,20 @@
     async def _read(self, routed: RoutedStatement) -> Reply:
         tried: set[str] = set()
         last: Reply | None = None
+        no_place: NoPlaceError | None = None
         may_have_run = False
         for _ in range(READ_TRIES):
             try:
                 row, after = await self._chooser.for_read(routed, routed.arrived_at, tried)
+                tried.add(row.name)
+                reply = await self._read_once(routed, row, after, tried)
+            except NoPlaceError as error:
+                if not self._chooser.another_can_read(routed, tried):
+                    raise _not_served(error, may_have_run) from None
+                no_place = error
+                continue
             except StatementRefusedError as error:
-                if may_have_run:
-                    raise StatementRefusedError(RefusalKind.ROLLED_BACK, error.detail) from error
-                raise
-            tried.add(row.name)
-            reply = await self._read_once(routed, row, after, tried)
+                raise _not_served(error, may_have_run) from None
             if reply is None:
                 may_have_run = True
                 continue
@@ -146,11 +151,13 @@
                 await trio.sleep(BUSY_PAUSE_S)
         if last is not None and last.refusal is not None and not last.refusal.has_not_run:
             return last
-        if may_have_run:
-            detail = "no endpoint answered the read"
-            raise StatementRefusedError(RefusalKind.ROLLED_BACK, come_back(detail))
-        detail = "no endpoint could run the read"
-        raise StatementRefusedError(RefusalKind.NO_CAPACITY, come_back(detail))
+        if no_place is not None and not may_have_run:
+            raise no_place
+        detail = (
+            "no endpoint answered the read" if may_have_run else "no endpoint could run the read"
+        )
+        refusal = StatementRefusedError(RefusalKind.NO_CAPACITY, come_back(detail))
+        raise _not_served(refusal, may_have_run)
 
     async def _read_once(
         self,
@@ -177,6 +184,9 @@
                 if reply.refusal is None:
                     self._state.learn_point(row, reply.position, asked_at)
                 return attrs.evolve(reply, state=SessionState.IDLE)
+        except NoPlaceError as error:
+            note_passed_over(self._state, row, routed.statement, str(error))
+            raise
         except (ExchangeError, StatementRefusedError) as error:
             note_passed_over(self._state, row, routed.statement, str(error))
             return None
@@ -187,6 +197,11 @@
         return None
 
 
+def _not_served(error: StatementRefusedError, may_have_run: bool) -> StatementRefusedError:
+    """Return the refusal of a read; one that was offered somewhere may have run."""
+    return StatementRefusedError(RefusalKind.ROLLED_BACK, error.detail) if may_have_run else error
+
+
 def _write_lost(
     routed: RoutedStatement, sent: bool, kind: RefusalKind, why: str
 ) -> StatementRefusedError:
--- a/wharftiller/tests/platform/test_whole_path.py
+++ b/wharftiller/tests/platform/test_whole_path.py
@@ -6,7 +6,7 @@
 import trio
 
 from standins.line_endpoints import proof
-from wharftiller.tests.platform.world import World, make_group, run_in_world
+from wharftiller.tests.platform.world import Caller, World, make_group, run_in_world
 
 
 class TestSessions:
@@ -242,6 +242,36 @@
         run_in_world(story)
 
 
+class TestQueue:
+    def test_a_statement_that_would_wait_beyond_its_goal_is_refused_at_once(self) -> None:
+        async def story(world: World) -> None:
+            world.groups[0].work_s = 0.2
+            box = world.boxes["box-1"]
+            pool = box.process.proxy.state.pools["seats-0"]  # type: ignore[union-attr]
+            callers = [await world.call(box, "primary") for _ in range(12)]
+            took_s: dict[bool, list[float]] = {True: [], False: []}
+
+            async def ask(caller: Caller) -> None:
+                started = trio.current_time()
+                answer = await caller.ask("READ seat1")
+                took_s[answer[0] == "ROW none"].append(trio.current_time() - started)
+
+            for _ in range(20):
+                pool.note_busy()
+                await trio.sleep(0.2)
+            for _ in range(3):
+                async with trio.open_nursery() as nursery:
+                    for caller in callers:
+                        nursery.start_soon(ask, caller)
+            assert took_s[True]
+            assert took_s[False]
+            # The goal is 250 ms; a quarter of it goes by before the first of a queue is served.
+            assert max(took_s[False]) < 0.35
+            assert max(took_s[True]) < 0.25 + 0.25
+
+        run_in_world(story)
+
+
 class TestConnections:
     def test_an_endpoint_that_is_only_slow_keeps_its_connections(self) -> None:
         async def story(world: World) -> None:
