Split the exchange with homes from the statements passed to them

forwarding.py mixed what a statement's or a transaction's end is with connections and with homes that fall silent; home_links.py has the latter, and both loops over homes are one. Behaviour is unchanged.

--- a/wharftiller/daemons/sessions/box_server.py
+++ b/wharftiller/daemons/sessions/box_server.py
@@ -17,7 +17,7 @@
     from wharftiller.core.leadership.record import LeadershipRecord
     from wharftiller.daemons.sessions.boxes import BoxDirectory
     from wharftiller.daemons.sessions.forwarded import ForwardedDesk
-    from wharftiller.daemons.sessions.forwarding import Forwarder
+    from wharftiller.daemons.sessions.home_links import HomeLinks
     from wharftiller.daemons.sessions.readers import ReaderDesk
     from wharftiller.daemons.sessions.state import SharedState
 
@@ -50,7 +50,7 @@
         known: Callable[[], dict[str, Any]],
         check: Callable[[list[str]], Awaitable[None]],
         desk_for_others: ForwardedDesk,
-        forwarder: Forwarder,
+        links: HomeLinks,
     ) -> None:
         self._state = state
         self._directory = directory
@@ -58,7 +58,7 @@
         self._known = known
         self._check = check
         self._desk_for_others = desk_for_others
-        self._forwarder = forwarder
+        self._links = links
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one question."""
@@ -115,7 +115,7 @@
         """Pass nothing new to a box that is stopping."""
         if not isinstance(value, dict) or not isinstance(value.get("box"), str):
             raise BadRequestError("a leaving box names itself; run one version")
-        await self._forwarder.leave(value["box"], LEAVING_S)
+        await self._links.leave(value["box"], LEAVING_S)
 
     def _read_age_ms(self) -> int:
         age_s = min(trio.current_time() - self._directory.platform_read_at, NEVER_READ_S)
--- a/wharftiller/daemons/sessions/forwarding.py
+++ b/wharftiller/daemons/sessions/forwarding.py
@@ -2,15 +2,13 @@
 
 from __future__ import annotations
 
-import math
 import secrets
-from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
 import attrs
 import trio
 
-from wharftiller.core.errors import BadRequestError, ExchangeError
+from wharftiller.core.errors import ExchangeError
 from wharftiller.core.sessions.session import RemoteTransaction
 from wharftiller.core.sessions.statements import Commit, RefusalKind, Reply, SessionState, refused
 from wharftiller.daemons.sessions.routed import (
@@ -19,13 +17,8 @@
     come_back,
     route_statement,
 )
-from wharftiller.edges.forwarded_json import (
-    ForwardedReply,
-    ForwardedStatement,
-    reply_from_json,
-    statement_to_json,
-)
-from wharftiller.edges.http_client import HttpPool, NotSentError
+from wharftiller.edges.forwarded_json import ForwardedStatement
+from wharftiller.edges.http_client import NotSentError
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -34,52 +27,18 @@
     from wharftiller.core.sessions.session import OpenTransaction, Session
     from wharftiller.core.sessions.statements import Statement
     from wharftiller.daemons.sessions.boxes import Box, BoxDirectory
+    from wharftiller.daemons.sessions.home_links import HomeLinks
     from wharftiller.daemons.sessions.homes import Homes
     from wharftiller.daemons.sessions.routed import RoutedStatement
     from wharftiller.daemons.sessions.state import SharedState
-    from wharftiller.edges.transport import Transport
+    from wharftiller.edges.forwarded_json import ForwardedReply
 
 HOMES_TRIED = 3
 """Homes that a statement is passed to, one after the other, before it is refused."""
 
-CONNECT_TIMEOUT_S = 0.3
-"""Time to connect to a home, in seconds: far more than a round trip within a data centre."""
-
-ANSWER_SLACK_S = 0.05
-"""Time beyond a statement's time-out that a home's answer may take to get here, in seconds."""
-
-SILENT_S = 0.3
-"""Time for which a home may owe an answer before it is asked whether it lives, in seconds."""
-
-ALIVE_TIMEOUT_S = 0.25
-"""Time that it then has, in seconds."""
-
-WATCH_S = 0.1
-"""Time between looks at homes that owe answers, in seconds."""
-
 
-class HomeLostError(ExchangeError):
-    """The home stopped answering while it ran a statement."""
-
-
-@attrs.define(eq=False)
-class _HomeLink:
-    """What this box knows of one home from passing statements to it.
-
-    Attributes
-    ----------
-    owed : dict
-        Scope of every statement that it has not answered, with the sending time.
-    asked_at : float
-        When it was last asked whether it lives, in seconds.
-    """
-
-    box: Box
-    pool: HttpPool
-    owed: dict[trio.CancelScope, float] = attrs.field(factory=dict)
-    heard_at: float = -math.inf
-    asked_at: float = -math.inf
-    lost: bool = False
+class _NotBegunError(Exception):
+    """The transaction did not begin at a home; another may be asked."""
 
 
 class Forwarder:
@@ -90,15 +49,14 @@
         state: SharedState,
         homes: Homes,
         directory: BoxDirectory,
-        transport: Transport,
+        links: HomeLinks,
         nursery: trio.Nursery,
     ) -> None:
         self._state = state
         self._homes = homes
         self._directory = directory
-        self._transport = transport
+        self._links = links
         self._nursery = nursery
-        self._links: dict[str, _HomeLink] = {}
 
     async def single(
         self, session: Session, route: Route, statement: Statement, arrived_at: float
@@ -111,17 +69,9 @@
             return refused(error.kind, error.detail, SessionState.IDLE)
 
     async def _single(self, routed: RoutedStatement) -> Reply | None:
-        group = routed.route.group
-        tried: set[str] = set()
         may_have_run = False
-        why = "no box that serves it answers"
-        while len(tried) < HOMES_TRIED:
-            home = self._homes.choose(group, tried)
-            if home is None:
-                if not tried:
-                    return None
-                break
-            tried.add(home.name)
+        why: str | None = None
+        for home in self._homes_to_try(routed.route.group):
             try:
                 return await self._ask(home, routed, self._message(routed))
             except NotSentError as error:
@@ -131,6 +81,8 @@
                 if routed.writes:
                     raise self._unknown(routed, why) from error
                 may_have_run = True
+        if why is None:
+            return None
         kind = RefusalKind.ROLLED_BACK if may_have_run else RefusalKind.NO_CAPACITY
         raise StatementRefusedError(kind, come_back(why))
 
@@ -169,21 +121,16 @@
 
     async def _begin(self, routed: RoutedStatement, transaction: OpenTransaction) -> Reply | None:
         """Have a home begin the transaction with its first statement."""
-        tried: set[str] = set()
-        why = "no box that serves it answers"
-        while len(tried) < HOMES_TRIED:
-            home = self._homes.choose(routed.route.group, tried)
-            if home is None:
-                if not tried:
-                    return None
-                break
-            tried.add(home.name)
+        why: str | None = None
+        for home in self._homes_to_try(routed.route.group):
             transaction.remote = RemoteTransaction(home.name, secrets.token_hex(8))
             try:
                 return await self._ask_transaction(home, routed, transaction, begins=True)
             except _NotBegunError as error:
                 transaction.remote = None
                 why = str(error)
+        if why is None:
+            return None
         raise StatementRefusedError(RefusalKind.ROLLED_BACK, come_back(why))
 
     async def _ask_transaction(
@@ -242,14 +189,23 @@
         if home is None:
             return
         try:
-            with trio.move_on_after(CONNECT_TIMEOUT_S):
-                await self._link(home).pool.post("/peer/end", {"transaction": remote.identity})
+            await self._links.tell_end(home, remote.identity)
         except ExchangeError as error:
             # The home ends it by itself once it has rested for too long.
             self._state.log.event("end_not_told", other=home.name, why=str(error))
 
     # Asking a home ------------------------------------------------------
 
+    def _homes_to_try(self, group: str) -> Iterator[Box]:
+        """Yield homes to ask one after the other; none if this box is to run it itself."""
+        tried: set[str] = set()
+        while len(tried) < HOMES_TRIED:
+            home = self._homes.choose(group, tried)
+            if home is None:
+                return
+            tried.add(home.name)
+            yield home
+
     def _message(self, routed: RoutedStatement) -> ForwardedStatement:
         session = routed.session
         group = routed.route.group
@@ -265,58 +221,12 @@
             unsettled=group in session.unsettled,
         )
 
-    def _link(self, home: Box) -> _HomeLink:
-        link = self._links.get(home.name)
-        if link is None or link.box.incarnation != home.incarnation:
-            pool = HttpPool(self._transport, home.address, CONNECT_TIMEOUT_S)
-            link = self._links[home.name] = _HomeLink(home, pool)
-        return link
-
     async def _ask(self, home: Box, routed: RoutedStatement, message: ForwardedStatement) -> Reply:
-        """Return the home's reply.
-
-        Raises
-        ------
-        NotSentError
-            If the statement surely did not reach it.
-        ExchangeError
-            If no usable answer came.
-        """
-        link = self._link(home)
-        body = statement_to_json(message)
-        with self._owed(link, routed) as scope:
-            try:
-                answer = await link.pool.post("/peer/run", body)
-            except NotSentError:
-                self._lose(link, "it takes no connection")
-                raise
-        if scope.cancelled_caught:
-            if link.lost:
-                raise HomeLostError(f"{home.name}, which ran it, stopped answering")
-            raise HomeLostError(f"{home.name} did not answer in time")
-        link.heard_at = trio.current_time()
-        if answer.status != 200:
-            detail = f"{home.name} could not run it: {answer.body[:80]!r}"
-            raise NotSentError(detail)
-        try:
-            told = reply_from_json(answer.json())
-        except BadRequestError as error:
-            raise ExchangeError(str(error)) from error
+        """Return the home's reply; raise as `HomeLinks.ask` does."""
+        told = await self._links.ask(home, message, routed.until + MARGIN_S)
         self._take(routed, told, home)
         return told.reply
 
-    @contextmanager
-    def _owed(self, link: _HomeLink, routed: RoutedStatement) -> Iterator[trio.CancelScope]:
-        """Note that ``link`` owes an answer; cancelled when it is lost or time is out."""
-        until = routed.until + MARGIN_S + ANSWER_SLACK_S
-        link.lost = False
-        with trio.CancelScope(deadline=until) as scope:
-            link.owed[scope] = trio.current_time()
-            try:
-                yield scope
-            finally:
-                del link.owed[scope]
-
     def _take(self, routed: RoutedStatement, told: ForwardedReply, home: Box) -> None:
         group = routed.route.group
         session = routed.session
@@ -333,39 +243,3 @@
         routed.session.unsettled.add(routed.route.group)
         detail = f"{why}; it may have been committed"
         return StatementRefusedError(RefusalKind.OUTCOME_UNKNOWN, detail)
-
-    # Homes that fall silent ---------------------------------------------
-
-    async def watch_for_ever(self) -> None:
-        """Find homes that owe answers and do not live; what they owe is given up at once."""
-        while True:
-            await trio.sleep(WATCH_S)
-            now = trio.current_time()
-            for link in list(self._links.values()):
-                oldest = min(link.owed.values(), default=now)
-                since = max(oldest, link.heard_at, link.asked_at)
-                if now - since > SILENT_S:
-                    link.asked_at = now
-                    self._nursery.start_soon(self._ask_alive, link)
-
-    async def _ask_alive(self, link: _HomeLink) -> None:
-        if not await self._directory.is_alive(link.box, ALIVE_TIMEOUT_S):
-            self._lose(link, "it owes answers and does not say that it lives")
-
-    def _lose(self, link: _HomeLink, why: str) -> None:
-        self._homes.avoid(link.box.name)
-        self._state.log.event("home_lost", other=link.box.name, owed=len(link.owed), why=why)
-        link.lost = True
-        for scope in link.owed:
-            scope.cancel()
-
-    async def leave(self, name: str, for_s: float) -> None:
-        """Pass nothing new to a box that is stopping."""
-        self._homes.avoid(name, for_s)
-        link = self._links.get(name)
-        if link is not None:
-            await link.pool.aclose()
-
-
-class _NotBegunError(Exception):
-    """The transaction did not begin at a home; another may be asked."""
--- /dev/null
+++ b/wharftiller/daemons/sessions/home_links.py
@@ -0,0 +1,171 @@
+"""Pass statements to homes over kept connections, and notice homes that fall silent."""
+
+from __future__ import annotations
+
+import math
+from contextlib import contextmanager
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from wharftiller.core.errors import BadRequestError, ExchangeError
+from wharftiller.edges.forwarded_json import reply_from_json, statement_to_json
+from wharftiller.edges.http_client import HttpPool, NotSentError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from wharftiller.daemons.sessions.boxes import Box, BoxDirectory
+    from wharftiller.daemons.sessions.homes import Homes
+    from wharftiller.daemons.sessions.state import SharedState
+    from wharftiller.edges.forwarded_json import ForwardedReply, ForwardedStatement
+    from wharftiller.edges.transport import Transport
+
+CONNECT_TIMEOUT_S = 0.3
+"""Time to connect to a home, in seconds: far more than a round trip within a data centre."""
+
+ANSWER_SLACK_S = 0.05
+"""Time beyond a statement's time-out that a home's answer may take to get here, in seconds."""
+
+SILENT_S = 0.3
+"""Time for which a home may owe an answer before it is asked whether it lives, in seconds."""
+
+ALIVE_TIMEOUT_S = 0.25
+"""Time that it then has, in seconds."""
+
+WATCH_S = 0.1
+"""Time between looks at homes that owe answers, in seconds."""
+
+
+class HomeLostError(ExchangeError):
+    """The home stopped answering while it ran a statement."""
+
+
+@attrs.define(eq=False)
+class _HomeLink:
+    """What this box knows of one home from passing statements to it.
+
+    Attributes
+    ----------
+    owed : dict
+        Scope of every statement that it has not answered, with the sending time.
+    asked_at : float
+        When it was last asked whether it lives, in seconds.
+    """
+
+    box: Box
+    pool: HttpPool
+    owed: dict[trio.CancelScope, float] = attrs.field(factory=dict)
+    heard_at: float = -math.inf
+    asked_at: float = -math.inf
+    lost: bool = False
+
+
+class HomeLinks:
+    """Connections of one box to homes, and what each home owes."""
+
+    def __init__(
+        self,
+        state: SharedState,
+        homes: Homes,
+        directory: BoxDirectory,
+        transport: Transport,
+        nursery: trio.Nursery,
+    ) -> None:
+        self._state = state
+        self._homes = homes
+        self._directory = directory
+        self._transport = transport
+        self._nursery = nursery
+        self._links: dict[str, _HomeLink] = {}
+
+    async def ask(self, home: Box, message: ForwardedStatement, until: float) -> ForwardedReply:
+        """Return the home's reply to a statement that times out at ``until`` (seconds).
+
+        Raises
+        ------
+        NotSentError
+            If the statement did not reach it, or it answered that it could not run it.
+        ExchangeError
+            If no usable answer came.
+        """
+        link = self._link(home)
+        body = statement_to_json(message)
+        with self._owed(link, until) as scope:
+            try:
+                answer = await link.pool.post("/peer/run", body)
+            except NotSentError:
+                self._lose(link, "it takes no connection")
+                raise
+        if scope.cancelled_caught:
+            if link.lost:
+                raise HomeLostError(f"{home.name}, which ran it, stopped answering")
+            raise HomeLostError(f"{home.name} did not answer in time")
+        link.heard_at = trio.current_time()
+        if answer.status != 200:
+            detail = f"{home.name} could not run it: {answer.body[:80]!r}"
+            raise NotSentError(detail)
+        try:
+            return reply_from_json(answer.json())
+        except BadRequestError as error:
+            raise ExchangeError(str(error)) from error
+
+    async def tell_end(self, home: Box, transaction: str) -> None:
+        """Have a home roll a transaction back, if it takes the word in time.
+
+        Raises
+        ------
+        ExchangeError
+            If no answer came.
+        """
+        with trio.move_on_after(CONNECT_TIMEOUT_S):
+            await self._link(home).pool.post("/peer/end", {"transaction": transaction})
+
+    def _link(self, home: Box) -> _HomeLink:
+        link = self._links.get(home.name)
+        if link is None or link.box.incarnation != home.incarnation:
+            pool = HttpPool(self._transport, home.address, CONNECT_TIMEOUT_S)
+            link = self._links[home.name] = _HomeLink(home, pool)
+        return link
+
+    @contextmanager
+    def _owed(self, link: _HomeLink, until: float) -> Iterator[trio.CancelScope]:
+        """Note that ``link`` owes an answer; cancelled when it is lost or time is out."""
+        link.lost = False
+        with trio.CancelScope(deadline=until + ANSWER_SLACK_S) as scope:
+            link.owed[scope] = trio.current_time()
+            try:
+                yield scope
+            finally:
+                del link.owed[scope]
+
+    async def watch_for_ever(self) -> None:
+        """Find homes that owe answers and do not live; what they owe is given up at once."""
+        while True:
+            await trio.sleep(WATCH_S)
+            now = trio.current_time()
+            for link in list(self._links.values()):
+                oldest = min(link.owed.values(), default=now)
+                since = max(oldest, link.heard_at, link.asked_at)
+                if now - since > SILENT_S:
+                    link.asked_at = now
+                    self._nursery.start_soon(self._ask_alive, link)
+
+    async def _ask_alive(self, link: _HomeLink) -> None:
+        if not await self._directory.is_alive(link.box, ALIVE_TIMEOUT_S):
+            self._lose(link, "it owes answers and does not say that it lives")
+
+    def _lose(self, link: _HomeLink, why: str) -> None:
+        self._homes.avoid(link.box.name)
+        self._state.log.event("home_lost", other=link.box.name, owed=len(link.owed), why=why)
+        link.lost = True
+        for scope in link.owed:
+            scope.cancel()
+
+    async def leave(self, name: str, for_s: float) -> None:
+        """Pass nothing new to a box that is stopping."""
+        self._homes.avoid(name, for_s)
+        link = self._links.get(name)
+        if link is not None:
+            await link.pool.aclose()
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -16,6 +16,7 @@
 from wharftiller.daemons.sessions.forwarded import ForwardedDesk
 from wharftiller.daemons.sessions.forwarding import Forwarder
 from wharftiller.daemons.sessions.gauges import believed
+from wharftiller.daemons.sessions.home_links import HomeLinks
 from wharftiller.daemons.sessions.homes import Homes
 from wharftiller.daemons.sessions.isolation import BALANCER_SEES_S, IsolationWatch
 from wharftiller.daemons.sessions.mover import PrimaryMover
@@ -151,8 +152,9 @@
         self.state = SharedState(identity.name, identity.data_centre, dialer, log, nursery)
         self._directory = BoxDirectory(self.state, transport, self._box)
         self._homes = Homes(self.state, self._directory)
-        self._forwarder = Forwarder(self.state, self._homes, self._directory, transport, nursery)
-        self._runner = StatementRunner(self.state, self._forwarder)
+        self._links = HomeLinks(self.state, self._homes, self._directory, transport, nursery)
+        forwarder = Forwarder(self.state, self._homes, self._directory, self._links, nursery)
+        self._runner = StatementRunner(self.state, forwarder)
         self.sessions = SessionServer(self.state, self._runner)
         self._for_others = ForwardedDesk(self.state)
         self._desk = ReaderDesk(self.state, incarnation)
@@ -172,7 +174,7 @@
             self._neighbours.known,
             self._prober.check,
             self._for_others,
-            self._forwarder,
+            self._links,
         )
         self.relay = RelayServer(transport, self.state.is_endpoint)
         self._mover = PrimaryMover(
@@ -216,7 +218,7 @@
             self._mover.run,
             self._isolation.run,
             self._runner.patience.run,
-            self._forwarder.watch_for_ever,
+            self._links.watch_for_ever,
             self._for_others.run_for_ever,
             self._log.flush_for_ever,
         ):
