--- a/wharftiller/tests/platform/test_readers.py
+++ b/wharftiller/tests/platform/test_readers.py
@@ -7,8 +7,7 @@
 
 from standins.object_store import Mood
 from wharftiller.daemons.sessions import readers
-from wharftiller.tests.platform.test_changes_of_primary import STORE_IP, write_until_done
-from wharftiller.tests.platform.world import World, run_in_world
+from wharftiller.tests.platform.world import STORE_IP, World, run_in_world, write_until_done
 
 BOXES = 9
 
