--- a/wharftiller/tests/soak/callers.py
+++ b/wharftiller/tests/soak/callers.py
@@ -135,15 +135,19 @@
         if asked_s > CROSSED_S and box.restarts == restarts and box.stopping_since is not None:
             self._deployment.ledger.faults.append(f"{request} was cut by the stop of {box.name}")
 
-    async def _write(self) -> None:
+    def _next_write(self) -> tuple[str, int]:
+        """Return what to write next and its number, which no other write has."""
         thing = self._thing()
         number = self._written[thing] = self._written.get(thing, 0) + 1
+        return thing, number
+
+    async def _write(self) -> None:
+        thing, number = self._next_write()
         request, code, _ = await self._ask(f"WRITE {thing} {number}")
         self._told(request, thing, number, code)
 
     async def _write_in_transaction(self) -> None:
-        thing = self._thing()
-        number = self._written[thing] = self._written.get(thing, 0) + 1
+        thing, number = self._next_write()
         if (await self._ask("BEGIN"))[1] != "done":
             self._leave()
             return
--- a/wharftiller/tests/soak/deployment.py
+++ b/wharftiller/tests/soak/deployment.py
@@ -32,13 +32,29 @@
 GRACE_S = 6.0
 """Time between being told to stop and being killed, in seconds."""
 
+ENDED_LOOK_S = 0.02
+"""Time between looks at whether a process has ended, in seconds."""
+
+REGISTER_S = 0.2
+"""Time between looks at whether an endpoint's role has changed, in seconds."""
+
 CALLERS_PORT, READY_PORT, BOXES_PORT, RELAY_PORT = 7001, 7002, 7003, 7010
 ENDPOINT_PORT, STORE_PORT = 7500, 7600
 
 
 @attrs.define(eq=False)
 class BoxProcess:
-    """One box: its settings, its process, and when it was last touched from outside."""
+    """One box: where it is, and its process.
+
+    Attributes
+    ----------
+    folder : Path
+        Where its settings are, and the log of each of its processes.
+    restarts : int
+        Processes started so far, the first one included.
+    stopping_since : float or None
+        When its process was told to stop, in seconds; None if it was not or was killed.
+    """
 
     name: str
     ip: str
@@ -77,7 +93,7 @@
         """Wait for the process's end."""
         assert self.process is not None
         while self.process.poll() is None:
-            await trio.sleep(0.02)
+            await trio.sleep(ENDED_LOOK_S)
 
     def kill(self) -> None:
         """End the process at once; what it cuts then is not cut by a planned stop."""
@@ -186,7 +202,7 @@
                 if told.get(server.name) != entry:
                     told[server.name] = entry
                     self.store.set("servers", server.name, entry)
-            await trio.sleep(0.2)
+            await trio.sleep(REGISTER_S)
 
     def configure(self) -> None:
         """Put the next version of the configuration in force."""
--- a/wharftiller/tests/soak/ledger.py
+++ b/wharftiller/tests/soak/ledger.py
@@ -1,6 +1,6 @@
 """What callers were told and what endpoints did, and the promises between the two.
 
-Every thing is written by one session only, with numbers that rise, so a read's value
+Every thing is written by one caller only, with numbers that rise, so a read's value
 tells which writes it saw.
 """
 
@@ -11,7 +11,7 @@
 
 from standins.line_endpoints import LineGroup, LineServer
 
-PROMISES = ("BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD")
+NOTHING_KEPT = ("BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD")
 """Codes after which nothing of a statement may be kept."""
 
 MAX_AGE_S = 1.5
@@ -104,7 +104,7 @@
         return [
             f"{told.request} refused with {told.code} but committed"
             for told in self.told
-            if told.code in PROMISES and told.request in kept
+            if told.code in NOTHING_KEPT and told.request in kept
         ]
 
     def _by_an_old_primary(self) -> list[str]:
--- a/wharftiller/tests/soak/plan.py
+++ b/wharftiller/tests/soak/plan.py
@@ -45,6 +45,9 @@
 QUIET_START_S = 1.0
 """Time without faults at the start, in seconds."""
 
+SHORTEST_S = 0.2
+"""Shortest fault, in seconds."""
+
 LONGEST_S = 5.0
 """Longest fault, in seconds: below the lease, so that some end before a change and some after."""
 
@@ -82,7 +85,7 @@
     for _ in range(SERIES):
         at_s = QUIET_START_S + draw.uniform(0.0, PAUSE_S[1])
         while at_s < seconds:
-            for_s = draw.uniform(0.2, LONGEST_S)
+            for_s = draw.uniform(SHORTEST_S, LONGEST_S)
             faults.append(Fault(at_s, draw.choice(kinds), draw.randrange(1000), for_s))
             at_s += draw.uniform(*PAUSE_S) + for_s * draw.random()
     return sorted(faults, key=lambda fault: fault.at_s)
