--- a/wharftiller/cli/report_tables.py
+++ b/wharftiller/cli/report_tables.py
@@ -14,27 +14,38 @@
 
 def tables_of(report: RunReport) -> Iterator[Table]:
     """Yield the tables of a report."""
-    reads = Table("reading", "by replicas", "by primaries", "part", title="Sampled reads")
+    yield _reads(report)
+    yield _changes(report)
+    yield _refusals(report)
+
+
+def _reads(report: RunReport) -> Table:
+    table = Table("reading", "by replicas", "by primaries", "part", title="Sampled reads")
     for share in report.reads:
-        reads.add_row(
+        table.add_row(
             share.reading, str(share.by_replicas), str(share.by_primaries), f"{share.part:.0%}"
         )
-    yield reads
-    changes = Table(
+    return table
+
+
+def _changes(report: RunReport) -> Table:
+    table = Table(
         "group", "from", "to", "planned", "silent s", "change s", title="Changes of primary"
     )
     for change in report.changes:
-        silent = "" if change.silent_s is None else f"{change.silent_s:.2f}"
-        changes.add_row(
+        table.add_row(
             change.group,
             change.old,
             change.successor,
             "yes" if change.planned else "no",
-            silent,
+            "" if change.silent_s is None else f"{change.silent_s:.2f}",
             f"{change.change_s:.2f}",
         )
-    yield changes
-    refusals = Table("from second", "reason", "statements", title="Refused or unknown")
+    return table
+
+
+def _refusals(report: RunReport) -> Table:
+    table = Table("from second", "reason", "statements", title="Refused or unknown")
     for (begin, reason), count in report.refusals.items():
-        refusals.add_row(f"{begin:.0f}", reason, str(count))
-    yield refusals
+        table.add_row(f"{begin:.0f}", reason, str(count))
+    return table
--- a/wharftiller/core/sessions/homes.py
+++ b/wharftiller/core/sessions/homes.py
@@ -12,7 +12,7 @@
 import attrs
 
 from wharftiller.core.rendezvous import ranked
-from wharftiller.core.sessions.shares import SET_ASIDE, connection_share, most_connections
+from wharftiller.core.sessions.shares import connection_share, most_connections
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -45,16 +45,20 @@
     homes: int | None
     share: int
 
+    def among(self, order: list[str]) -> list[str]:
+        """Return the homes among one data centre's boxes, given in their ranked ``order``."""
+        return order if self.homes is None else order[: self.homes]
+
 
 def plan_homes(max_connections: int, boxes: int, data_centres: int) -> HomePlan:
     """Return how ``boxes`` boxes in all share an endpoint's ``max_connections``."""
     if most_connections(max_connections, boxes) >= LEAST_SHARE or boxes <= data_centres:
         return HomePlan(None, connection_share(max_connections, boxes))
-    homes = max(1, (max_connections - SET_ASIDE) // HOME_SHARE // max(1, data_centres))
-    return HomePlan(homes, connection_share(max_connections, homes * max(1, data_centres)))
+    centres = max(1, data_centres)
+    homes = max(1, most_connections(max_connections, centres) // HOME_SHARE)
+    return HomePlan(homes, connection_share(max_connections, homes * centres))
 
 
 def homes_of(group: str, names: Iterable[str], plan: HomePlan) -> list[str]:
     """Return the homes of ``group`` among the boxes ``names`` of one data centre."""
-    order = ranked(group, names)
-    return order if plan.homes is None else order[: plan.homes]
+    return plan.among(ranked(group, names))
--- a/wharftiller/core/sessions/statements.py
+++ b/wharftiller/core/sessions/statements.py
@@ -199,6 +199,11 @@
     position: LogPosition | None = None
     endpoint: str | None = None
 
+    @property
+    def outcome(self) -> str:
+        """How the statement ended, in one word: ``done`` or the kind of refusal."""
+        return "done" if self.refusal is None else self.refusal.kind.value
+
 
 @attrs.frozen
 class ResetSession:
--- a/wharftiller/daemons/sessions/forwarded.py
+++ b/wharftiller/daemons/sessions/forwarded.py
@@ -9,7 +9,7 @@
 
 from wharftiller.core.errors import BadRequestError
 from wharftiller.core.sessions.session import Session
-from wharftiller.core.sessions.statements import RefusalKind, SessionState, refused
+from wharftiller.core.sessions.statements import Execute, RefusalKind, SessionState, refused
 from wharftiller.daemons.sessions.routed import come_back
 from wharftiller.daemons.sessions.statements import StatementRunner
 from wharftiller.edges.forwarded_json import ForwardedReply, reply_to_json, statement_from_json
@@ -122,10 +122,9 @@
 
     @staticmethod
     def _name_prepared(session: Session, asked: ForwardedStatement) -> None:
-        body = asked.statement.body
-        name = getattr(body, "name", None)
-        if name is not None and asked.needed is not None:
-            session.prepared[name] = asked.needed
+        match asked.statement.body:
+            case Execute(name) if asked.needed is not None:
+                session.prepared[name] = asked.needed
 
     def _told(
         self, asked: ForwardedStatement, session: Session | None, reply: Reply
--- a/wharftiller/daemons/sessions/forwarding.py
+++ b/wharftiller/daemons/sessions/forwarding.py
@@ -235,8 +235,7 @@
         elif told.own_write is not None:
             session.wrote(group, told.own_write)
         self._state.told_usable[group] = told.primary_usable
-        outcome = "done" if told.reply.refusal is None else told.reply.refusal.kind.value
-        self._state.figures.forwarded[home.name, outcome] += 1
+        self._state.figures.forwarded[home.name, told.reply.outcome] += 1
 
     @staticmethod
     def _unknown(routed: RoutedStatement, why: str) -> StatementRefusedError:
--- a/wharftiller/daemons/sessions/homes.py
+++ b/wharftiller/daemons/sessions/homes.py
@@ -81,7 +81,7 @@
             if len(self._ranked) > RANKINGS_KEPT:
                 self._ranked.clear()
             order = self._ranked[group, near] = ranked(group, near)
-        return order if plan.homes is None else order[: plan.homes]
+        return plan.among(order)
 
     def _near(self, tried: Collection[str]) -> list[str]:
         """Return the boxes of this data centre that may be homes, this one among them."""
--- a/wharftiller/daemons/sessions/isolation.py
+++ b/wharftiller/daemons/sessions/isolation.py
@@ -4,8 +4,9 @@
 refused, and reads too once nothing known is new enough. Boxes on the primaries' side
 still serve. A box that cannot use most primaries, and hears no box of the data centres
 where those stand, tells the balancer that it is not ready, so that new sessions go
-to the other side. Once the balancer has seen that, it closes the sessions at rest that
-it cannot serve: they open again elsewhere. All others are served as far as it can.
+to the other side, until one of those boxes answers or they have been silent for so long
+that they may be dead. Once the balancer has seen that, it closes the sessions at rest
+that it cannot serve: they open again elsewhere. All others are served as far as it can.
 """
 
 from __future__ import annotations
@@ -41,7 +42,6 @@
 BALANCER_SEES_S = 2.3
 """Time until the balancer has taken an unready box out, in seconds: two missed looks, 1 s apart."""
 
-
 ISOLATED_MOST_S = 6.0
 """Time for which a box that hears some other data centre stays isolated, in seconds.
 
@@ -87,13 +87,18 @@
         silent = await self._silent_among(frozenset(away.values()))
         if not silent:
             self._given_up = False
-        elif not self._given_up:
-            cut = {group: centre for group, centre in away.items() if centre in silent}
-            if self._are_most(cut):
-                self._since = trio.current_time()
-                self._sent_away = False
-                self._silent = silent
-                self._state.log.change("isolated", **self._told())
+        if self._given_up:
+            return
+        beyond_cut = [group for group, centre in away.items() if centre in silent]
+        if self._are_most(beyond_cut):
+            self._begin(silent)
+
+    def _begin(self, silent: frozenset[str]) -> None:
+        """Be isolated from the data centres ``silent``."""
+        self._since = trio.current_time()
+        self._sent_away = False
+        self._silent = silent
+        self._state.log.change("isolated", **self._told())
 
     async def _look_again(self) -> None:
         """Look whether a box of the silent data centres answers again, or time is out."""
--- a/wharftiller/daemons/sessions/notes.py
+++ b/wharftiller/daemons/sessions/notes.py
@@ -23,12 +23,11 @@
     """Log and count how a statement ended."""
     took_s = trio.current_time() - arrived_at
     route = state.configuration.routes.get(session.database)
-    outcome = "done" if reply.refusal is None else reply.refusal.kind.value
     labels = AnswerLabels(
         "" if route is None else route.name,
         "" if route is None else type(route.consistency).__name__,
         type(statement.body).__name__,
-        outcome,
+        reply.outcome,
     )
     state.figures.answered(labels, took_s)
     _log(state, session, statement, reply, took_s, route)
@@ -43,6 +42,14 @@
     _log(state, session, statement, reply, took_s, route)
 
 
+def note_passed_over(state: SharedState, row: EndpointRow, statement: Statement, why: str) -> None:
+    """Log and count that an endpoint was asked and did not serve."""
+    state.figures.statements[row.name, "passed_over"] += 1
+    state.log.event(
+        "endpoint_passed_over", request=statement.request_id, endpoint=row.name, why=why
+    )
+
+
 def _log(
     state: SharedState,
     session: Session,
@@ -93,13 +100,5 @@
     }
 
 
-def note_passed_over(state: SharedState, row: EndpointRow, statement: Statement, why: str) -> None:
-    """Log and count that an endpoint was asked and did not serve."""
-    state.figures.statements[row.name, "passed_over"] += 1
-    state.log.event(
-        "endpoint_passed_over", request=statement.request_id, endpoint=row.name, why=why
-    )
-
-
 def _ms(seconds: float) -> int:
     return round(seconds * 1000)
--- a/wharftiller/edges/http_client.py
+++ b/wharftiller/edges/http_client.py
@@ -68,6 +68,13 @@
     def __init__(self, stream: trio.abc.Stream) -> None:
         self._stream = stream
 
+    @property
+    def usable(self) -> bool:
+        """Whether nothing unexpected has come on it; the peer may have closed it."""
+        if isinstance(self._stream, trio.SocketStream):
+            return not self._stream.socket.is_readable()
+        return True
+
     async def request(
         self, method: str, path: str, body: Any = None, headers: dict[str, str] | None = None
     ) -> HttpAnswer:
@@ -100,13 +107,6 @@
             raise ExchangeError("the peer sent more than one answer to a request")
         return HttpAnswer(parser.get_status_code(), collector.headers, b"".join(collector.body))
 
-    @property
-    def usable(self) -> bool:
-        """Whether nothing unexpected has come on it; the peer may have closed it."""
-        if isinstance(self._stream, trio.SocketStream):
-            return not self._stream.socket.is_readable()
-        return True
-
     async def aclose(self) -> None:
         """Close at once."""
         await close_now(self._stream)
--- a/wharftiller/run_report.py
+++ b/wharftiller/run_report.py
@@ -68,14 +68,14 @@
 
 def report_of(events: Iterable[LoggedEvent]) -> RunReport:
     """Return the report of a run; lines that were left out by rate are not in it."""
-    ordered = sorted(events, key=lambda each: each.at)
-    first = ordered[0].at if ordered else 0.0
-    return RunReport(_reads(ordered), _changes(ordered), _refusals(ordered, first))
+    in_time = sorted(events, key=lambda each: each.at)
+    first = in_time[0].at if in_time else 0.0
+    return RunReport(_reads(in_time), _changes(in_time), _refusals(in_time, first))
 
 
-def _reads(ordered: list[LoggedEvent]) -> list[ReadShare]:
+def _reads(events: list[LoggedEvent]) -> list[ReadShare]:
     counts: dict[str, list[int]] = collections.defaultdict(lambda: [0, 0])
-    for event in ordered:
+    for event in events:
         fields = event.fields
         if event.event == "answered" and fields.get("access") == "read" and fields.get("endpoint"):
             by_primary = fields["endpoint"] == fields.get("lead")
@@ -86,28 +86,28 @@
     ]
 
 
-def _changes(ordered: list[LoggedEvent]) -> list[ChangeOfPrimary]:
+def _changes(events: list[LoggedEvent]) -> list[ChangeOfPrimary]:
     started: dict[tuple[str, str], LoggedEvent] = {}
-    ordered_at: dict[str, LoggedEvent] = {}
+    orders: dict[str, LoggedEvent] = {}
     changes = []
-    for event in ordered:
+    for event in events:
         group = str(event.fields.get("group"))
         match event.event:
             case "change_of_primary_starts":
                 started[event.box, group] = event
             case "promotion_ordered" if event.fields.get("ok"):
-                ordered_at[event.box] = event
-            case "record_written" if event.box in ordered_at:
-                order = ordered_at.pop(event.box)
+                orders[event.box] = event
+            case "record_written" if event.box in orders:
+                order = orders.pop(event.box)
                 group = str(order.fields["group"])
                 start = started.get((event.box, group))
                 if start is not None:
-                    changes.append(_change(ordered, group, start, order, event))
+                    changes.append(_change(events, group, start, order, event))
     return changes
 
 
 def _change(
-    ordered: list[LoggedEvent],
+    events: list[LoggedEvent],
     group: str,
     start: LoggedEvent,
     order: LoggedEvent,
@@ -116,7 +116,7 @@
     old = str(start.fields.get("old"))
     silent_at = [
         event.at
-        for event in ordered
+        for event in events
         if event.event == "endpoint_silent"
         and event.fields.get("endpoint") == old
         and event.at <= start.at
@@ -127,9 +127,9 @@
     return ChangeOfPrimary(group, old, successor, planned, silent_s, written.at - start.at)
 
 
-def _refusals(ordered: list[LoggedEvent], first: float) -> dict[tuple[float, str], int]:
+def _refusals(events: list[LoggedEvent], first: float) -> dict[tuple[float, str], int]:
     counts: collections.Counter[tuple[float, str]] = collections.Counter()
-    for event in ordered:
+    for event in events:
         if event.event in ("refused", "unsettled"):
             begin = (event.at - first) // SLICE_S * SLICE_S
             counts[begin, str(event.fields.get("reason"))] += 1
