--- a/wharftiller/core/sessions/figures.py
+++ b/wharftiller/core/sessions/figures.py
@@ -55,7 +55,15 @@
 
 @attrs.define
 class Figures:
-    """Everything counted by one process."""
+    """Everything counted by one process.
+
+    Attributes
+    ----------
+    statements : collections.Counter
+        Statements sent to endpoints, by endpoint and outcome.
+    forwarded : collections.Counter
+        Statements passed to homes, by home and outcome.
+    """
 
     answers: collections.Counter[AnswerLabels] = attrs.field(factory=collections.Counter)
     latency: dict[str, LatencyHistogram] = attrs.field(
