--- /dev/null
+++ b/wharftiller/daemons/sessions/drain.py
@@ -0,0 +1,47 @@
+"""Let sessions and other boxes' statements end before the process does."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from wharftiller.daemons.sessions.isolation import BALANCER_SEES_S
+
+if TYPE_CHECKING:
+    from wharftiller.daemons.sessions.callers import SessionServer
+    from wharftiller.daemons.sessions.forwarded import ForwardedDesk
+
+LAST_MOMENT_S = 0.5
+"""Time kept before the platform kills a stopping process, in seconds."""
+
+DRAIN_LOOK_S = 0.05
+"""Time between looks at whether all sessions have ended, in seconds."""
+
+
+class Drain:
+    """Ends what a stopping box serves; never cuts a request."""
+
+    def __init__(self, sessions: SessionServer, for_others: ForwardedDesk) -> None:
+        self._sessions = sessions
+        self._for_others = for_others
+
+    async def run(self, started: float, grace_s: float) -> None:
+        """Return once all has ended, at the latest just before the grace time is over.
+
+        Parameters
+        ----------
+        started : float
+            When the box was told to stop, in seconds.
+        grace_s : float
+            Time from then on until the process is killed, in seconds.
+        """
+        await trio.sleep(BALANCER_SEES_S)
+        self._sessions.close_idle()
+        await self._until_ended(started + grace_s / 2)
+        self._sessions.close_all()
+        await self._until_ended(started + grace_s - LAST_MOMENT_S)
+
+    async def _until_ended(self, until: float) -> None:
+        while (self._sessions.count or self._for_others.count) and trio.current_time() < until:
+            await trio.sleep(DRAIN_LOOK_S)
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -13,12 +13,13 @@
 from wharftiller.daemons.sessions.box_server import BoxServer
 from wharftiller.daemons.sessions.boxes import ROUND_S, Box, BoxDirectory
 from wharftiller.daemons.sessions.callers import SessionServer
+from wharftiller.daemons.sessions.drain import LAST_MOMENT_S, Drain
 from wharftiller.daemons.sessions.forwarded import ForwardedDesk
 from wharftiller.daemons.sessions.forwarding import Forwarder
 from wharftiller.daemons.sessions.gauges import believed
 from wharftiller.daemons.sessions.home_links import HomeLinks
 from wharftiller.daemons.sessions.homes import Homes
-from wharftiller.daemons.sessions.isolation import BALANCER_SEES_S, IsolationWatch
+from wharftiller.daemons.sessions.isolation import IsolationWatch
 from wharftiller.daemons.sessions.mover import PrimaryMover
 from wharftiller.daemons.sessions.neighbours import Neighbours
 from wharftiller.daemons.sessions.pool import MAINTENANCE_S
@@ -86,12 +87,6 @@
 Less than half of the lease (6 s): several rounds fit in before it runs out.
 """
 
-LAST_MOMENT_S = 0.5
-"""Time kept before the platform kills a stopping process, in seconds."""
-
-DRAIN_LOOK_S = 0.05
-"""Time between looks at whether all sessions have ended, in seconds."""
-
 
 @attrs.frozen
 class BoxIdentity:
@@ -157,6 +152,7 @@
         self._runner = StatementRunner(self.state, forwarder)
         self.sessions = SessionServer(self.state, self._runner)
         self._for_others = ForwardedDesk(self.state)
+        self._drain = Drain(self.sessions, self._for_others)
         self._desk = ReaderDesk(self.state, incarnation)
         self._readers = ReaderClient(self.state, self._directory, self._box, self.take_listing)
         self._prober = Prober(self.state, self._directory, dialer, nursery)
@@ -368,16 +364,12 @@
                 pool.trim(now)
 
     async def stop(self) -> None:
-        """Turn unready, let sessions end, then return; never cuts a request."""
+        """Turn unready, let sessions end, leave the list of boxes, then return."""
         started = trio.current_time()
         self._unready = True
         self._log.change("stopping", sessions=self.sessions.count)
         self._nursery.start_soon(self._directory.tell_leaving)
-        await trio.sleep(BALANCER_SEES_S)
-        self.sessions.close_idle()
-        await self._until_ended(started + self._identity.grace_s / 2)
-        self.sessions.close_all()
-        await self._until_ended(started + self._identity.grace_s - LAST_MOMENT_S)
+        await self._drain.run(started, self._identity.grace_s)
         self._log.change("stopped", sessions=self.sessions.count)
         with trio.move_on_after(LAST_MOMENT_S / 2):
             try:
@@ -385,7 +377,3 @@
             except PlatformUnavailableError as error:
                 self._log.event("not_withdrawn", why=str(error))
         self._log.flush()
-
-    async def _until_ended(self, until: float) -> None:
-        while (self.sessions.count or self._for_others.count) and trio.current_time() < until:
-            await trio.sleep(DRAIN_LOOK_S)
