--- a/wharftiller/daemons/sessions/isolation.py
+++ b/wharftiller/daemons/sessions/isolation.py
@@ -43,7 +43,7 @@
 """Time until the balancer has taken an unready box out, in seconds: two missed looks, 1 s apart."""
 
 ISOLATED_MOST_S = 6.0
-"""Time for which a box that hears some other data centre stays isolated, in seconds.
+"""Time for which a box that lists boxes of a further data centre stays isolated, in seconds.
 
 The silent side may be dead instead of cut off; by then (2 s and the leases of 6 s, from
 the cut on) its primaries are being replaced on this side.
@@ -113,8 +113,9 @@
 
     def _is_time_out(self) -> bool:
         assert self._since is not None
-        hears_others = bool(self._elsewhere().keys() - self._silent)
-        return hears_others and trio.current_time() - self._since > ISOLATED_MOST_S
+        # Only the silent data centres are asked; boxes of others are taken to answer.
+        others = self._elsewhere().keys() - self._silent
+        return bool(others) and trio.current_time() - self._since > ISOLATED_MOST_S
 
     def _told(self) -> dict[str, list[str]]:
         return {"unusable": self._unusable(), "silent": sorted(self._silent)}
