--- a/benchmarks/log_cost.py
+++ b/benchmarks/log_cost.py
@@ -40,8 +40,8 @@
 """What a box tells with a logged answer."""
 
 
-def _microseconds_each(reply: Reply, ids: list[str]) -> tuple[float, int]:
-    """Return the processor time of one answer, in microseconds, and the bytes written."""
+def _cost_each(reply: Reply, ids: list[str]) -> tuple[float, float]:
+    """Return the processor time of one answer, in microseconds, and the bytes it writes."""
     written = 0
 
     def write(data: bytes) -> int:
@@ -62,7 +62,8 @@
             # As the process does twice a second; also lifts the bound of lines a second.
             log.flush()
             log._written.clear()
-    return (time.process_time() - started) / len(ids) * 1e6, written
+    took_s = time.process_time() - started
+    return took_s / len(ids) * 1e6, written / len(ids)
 
 
 async def main() -> None:
@@ -70,10 +71,10 @@
     ids = [f"{number:016x}" for number in range(ANSWERS)]
     ordinary = Reply(SessionState.IDLE, proof="x", endpoint="i-65455e491b")
     refusal = Refusal(RefusalKind.NO_CAPACITY, "no primary can be used now; come back in 300 ms")
-    each_us, _ = _microseconds_each(ordinary, ids)
-    line_us, written = _microseconds_each(Reply(SessionState.IDLE, refusal=refusal), ids)
+    each_us, _ = _cost_each(ordinary, ids)
+    line_us, line_bytes = _cost_each(Reply(SessionState.IDLE, refusal=refusal), ids)
     print(f"ordinary answer, sampled and counted: {each_us:.1f} us")
-    print(f"refusal, a line each: {line_us:.1f} us, {written / ANSWERS:.0f} bytes")
+    print(f"refusal, a line each: {line_us:.1f} us, {line_bytes:.0f} bytes")
 
 
 if __name__ == "__main__":
--- a/wharftiller/platform/settings.py
+++ b/wharftiller/platform/settings.py
@@ -13,7 +13,6 @@
 METRICS_PORT = 9464
 """Port of the page of metrics; deploy/system.toml names it to the platform."""
 
-
 OWN_DESCRIPTORS = 800
 """Descriptors kept for files (the platform's 200), endpoints, other boxes and the platform.
 
--- a/wharftiller/tests/platform/world.py
+++ b/wharftiller/tests/platform/world.py
@@ -16,7 +16,7 @@
 from standins.object_store import ObjectStoreStandIn
 from wharftiller.decisions import DecisionLog
 from wharftiller.platform.__main__ import PlatformProcess
-from wharftiller.platform.settings import ProcessSettings
+from wharftiller.platform.settings import DEFAULT_MAX_SESSIONS, ProcessSettings
 
 STORE_IP = "10.9.0.1"
 STORE = f"{STORE_IP}:80"
@@ -124,7 +124,10 @@
     """Everything on one network."""
 
     def __init__(
-        self, nursery: trio.Nursery, groups: list[LineGroup], max_sessions: int = 3_400
+        self,
+        nursery: trio.Nursery,
+        groups: list[LineGroup],
+        max_sessions: int = DEFAULT_MAX_SESSIONS,
     ) -> None:
         self._nursery = nursery
         self._max_sessions = max_sessions
@@ -236,7 +239,7 @@
 
 @asynccontextmanager
 async def running_world(
-    boxes: int = 3, groups: list[LineGroup] | None = None, max_sessions: int = 3_400
+    boxes: int = 3, groups: list[LineGroup] | None = None, max_sessions: int = DEFAULT_MAX_SESSIONS
 ) -> AsyncIterator[World]:
     """Run a world whose boxes know one another."""
     async with trio.open_nursery() as nursery:
@@ -254,7 +257,7 @@
     *,
     boxes: int = 3,
     groups: list[LineGroup] | None = None,
-    max_sessions: int = 3_400,
+    max_sessions: int = DEFAULT_MAX_SESSIONS,
 ) -> None:
     """Run ``story`` in virtual time."""
 
