--- a/wharftiller/tests/platform/world.py
+++ b/wharftiller/tests/platform/world.py
@@ -16,9 +16,10 @@
 from standins.object_store import ObjectStoreStandIn
 from wharftiller.decisions import DecisionLog
 from wharftiller.platform.__main__ import PlatformProcess
-from wharftiller.platform.settings import ProcessSettings
+from wharftiller.platform.settings import DEFAULT_MAX_SESSIONS, ProcessSettings
 
-STORE = "10.9.0.1:80"
+STORE_IP = "10.9.0.1"
+STORE = f"{STORE_IP}:80"
 GROUP = "seats"
 SETTLED_S = 3.0
 """Time after which boxes know one another, the configuration and the primary."""
@@ -123,7 +124,10 @@
     """Everything on one network."""
 
     def __init__(
-        self, nursery: trio.Nursery, groups: list[LineGroup], max_sessions: int = 3_400
+        self,
+        nursery: trio.Nursery,
+        groups: list[LineGroup],
+        max_sessions: int = DEFAULT_MAX_SESSIONS,
     ) -> None:
         self._nursery = nursery
         self._max_sessions = max_sessions
@@ -235,7 +239,7 @@
 
 @asynccontextmanager
 async def running_world(
-    boxes: int = 3, groups: list[LineGroup] | None = None, max_sessions: int = 3_400
+    boxes: int = 3, groups: list[LineGroup] | None = None, max_sessions: int = DEFAULT_MAX_SESSIONS
 ) -> AsyncIterator[World]:
     """Run a world whose boxes know one another."""
     async with trio.open_nursery() as nursery:
@@ -253,7 +257,7 @@
     *,
     boxes: int = 3,
     groups: list[LineGroup] | None = None,
-    max_sessions: int = 3_400,
+    max_sessions: int = DEFAULT_MAX_SESSIONS,
 ) -> None:
     """Run ``story`` in virtual time."""
 
@@ -262,3 +266,18 @@
             await story(world)
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+async def write_until_done(caller: Caller, text: str, within_s: float) -> float:
+    """Offer a write until it is acknowledged; return how long it took, in seconds."""
+    started = trio.current_time()
+    with trio.fail_after(within_s):
+        while not (await caller.ask(text))[0].startswith("ROW written"):
+            await trio.sleep(0.1)
+    return trio.current_time() - started
+
+
+def fences_rise(world: World) -> bool:
+    """Return whether no promotion was ordered under a lower fence than one before."""
+    fences = [fence for group in world.groups for _, _, fence in group.promotions]
+    return fences == sorted(fences)
