--- a/wharftiller/decisions.py
+++ b/wharftiller/decisions.py
@@ -107,7 +107,7 @@
             Returns what the box believed that decided the outcome, with its age or version.
         """
         refusal = reply.refusal
-        if refusal is None and took_s < SLOW_S and not _sampled(statement.request_id):
+        if refusal is None and took_s < SLOW_S and not is_sampled(statement.request_id):
             return
         fields: dict[str, Any] = {
             "request": statement.request_id,
@@ -177,5 +177,6 @@
     return os.write(sys.stdout.fileno(), data)
 
 
-def _sampled(request_id: str) -> bool:
+def is_sampled(request_id: str) -> bool:
+    """Return whether ordinary answers to ``request_id`` are logged, on every box."""
     return zlib.crc32(request_id.encode()) % SAMPLED_OF == 0
--- a/wharftiller/run_report.py
+++ b/wharftiller/run_report.py
@@ -7,6 +7,8 @@
 
 import attrs
 
+from wharftiller.decisions import is_sampled
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -77,7 +79,10 @@
     counts: dict[str, list[int]] = collections.defaultdict(lambda: [0, 0])
     for event in events:
         fields = event.fields
-        if event.event == "answered" and fields.get("access") == "read" and fields.get("endpoint"):
+        if event.event != "answered" or not is_sampled(str(fields.get("request"))):
+            # Slow answers are logged whatever their id: they would count for too much.
+            continue
+        if fields.get("access") == "read" and fields.get("endpoint"):
             by_primary = fields["endpoint"] == fields.get("lead")
             counts[str(fields.get("reading"))][by_primary] += 1
     return [
--- a/wharftiller/tests/test_run_report.py
+++ b/wharftiller/tests/test_run_report.py
@@ -11,6 +11,7 @@
 
 from wharftiller.cli.wharfctl import app
 from wharftiller.decision_story import read_events
+from wharftiller.decisions import is_sampled
 from wharftiller.run_report import RunReport, report_of
 from wharftiller.tests.platform.world import World, run_in_world
 
@@ -19,9 +20,19 @@
     return json.dumps({"event": event, **fields, "at": at, "part": "proxy", "box": "box-1"})
 
 
-def read(at: float, endpoint: str) -> str:
+SAMPLED = next(f"{number}" for number in range(10_000) if is_sampled(f"{number}"))
+SLOW = next(f"{number}" for number in range(10_000) if not is_sampled(f"{number}"))
+
+
+def read(at: float, endpoint: str, request: str = SAMPLED) -> str:
     return line(
-        at, "answered", access="read", reading="BoundedReads", endpoint=endpoint, lead="one"
+        at,
+        "answered",
+        request=request,
+        access="read",
+        reading="BoundedReads",
+        endpoint=endpoint,
+        lead="one",
     )
 
 
@@ -29,6 +40,7 @@
     read(1.0, "one"),
     read(1.1, "two"),
     read(1.2, "two"),
+    read(1.25, "one", SLOW),
     line(1.3, "answered", access="write", reading="PrimaryReads", endpoint="one", lead="one"),
     line(5.0, "endpoint_silent", endpoint="one"),
     line(5.2, "refused", reason="no_capacity"),
