--- a/wharftiller/daemons/sessions/forwarding.py
+++ b/wharftiller/daemons/sessions/forwarding.py
@@ -81,7 +81,8 @@
                 if routed.writes:
                     raise self._unknown(routed, why) from error
                 may_have_run = True
-        if why is None:
+        if why is None or self._homes.choose(routed.route.group, ()) is None:
+            # With its homes lost for now, this box is the next to run it.
             return None
         kind = RefusalKind.ROLLED_BACK if may_have_run else RefusalKind.NO_CAPACITY
         raise StatementRefusedError(kind, come_back(why))
@@ -129,7 +130,7 @@
             except _NotBegunError as error:
                 transaction.remote = None
                 why = str(error)
-        if why is None:
+        if why is None or self._homes.choose(routed.route.group, ()) is None:
             return None
         raise StatementRefusedError(RefusalKind.ROLLED_BACK, come_back(why))
 
--- a/wharftiller/daemons/sessions/home_links.py
+++ b/wharftiller/daemons/sessions/home_links.py
@@ -38,6 +38,10 @@
 """Time between looks at homes that owe answers, in seconds."""
 
 
+REFUSED_UNREAD = (400, 404, 413)
+"""Answers to a question that was not understood: nothing of it was run."""
+
+
 class HomeLostError(ExchangeError):
     """The home stopped answering while it ran a statement."""
 
@@ -105,7 +109,7 @@
         link.heard_at = trio.current_time()
         if answer.status != 200:
             detail = f"{home.name} could not run it: {answer.body[:80]!r}"
-            raise NotSentError(detail)
+            raise NotSentError(detail) if answer.status in REFUSED_UNREAD else ExchangeError(detail)
         try:
             return reply_from_json(answer.json())
         except BadRequestError as error:
--- a/wharftiller/daemons/sessions/isolation.py
+++ b/wharftiller/daemons/sessions/isolation.py
@@ -103,20 +103,17 @@
     async def _look_again(self) -> None:
         """Look whether a box of the silent data centres answers again, or time is out."""
         assert self._since is not None
-        silent = await self._silent_among(self._silent)
-        if silent == self._silent and not self._is_time_out():
+        silent = await self._silent_among(frozenset(self._elsewhere()))
+        still = self._silent <= silent
+        hears_others = bool(self._elsewhere().keys() - silent)
+        time_out = trio.current_time() - self._since > ISOLATED_MOST_S
+        if still and not (hears_others and time_out):
             self._send_away()
             return
-        self._given_up = silent == self._silent
+        self._given_up = still
         self._since = None
         self._state.log.change("isolation_ended", **self._told())
 
-    def _is_time_out(self) -> bool:
-        assert self._since is not None
-        # Only the silent data centres are asked; boxes of others are taken to answer.
-        others = self._elsewhere().keys() - self._silent
-        return bool(others) and trio.current_time() - self._since > ISOLATED_MOST_S
-
     def _told(self) -> dict[str, list[str]]:
         return {"unusable": self._unusable(), "silent": sorted(self._silent)}
 
--- a/wharftiller/run_report.py
+++ b/wharftiller/run_report.py
@@ -93,7 +93,7 @@
 
 def _changes(events: list[LoggedEvent]) -> list[ChangeOfPrimary]:
     started: dict[tuple[str, str], LoggedEvent] = {}
-    orders: dict[str, LoggedEvent] = {}
+    orders: dict[str, list[LoggedEvent]] = collections.defaultdict(list)
     changes = []
     for event in events:
         group = str(event.fields.get("group"))
@@ -101,13 +101,13 @@
             case "change_of_primary_starts":
                 started[event.box, group] = event
             case "promotion_ordered" if event.fields.get("ok"):
-                orders[event.box] = event
-            case "record_written" if event.box in orders:
-                order = orders.pop(event.box)
-                group = str(order.fields["group"])
-                start = started.get((event.box, group))
-                if start is not None:
-                    changes.append(_change(events, group, start, order, event))
+                orders[event.box].append(event)
+            case "record_written":
+                for order in orders.pop(event.box, ()):
+                    group = str(order.fields["group"])
+                    start = started.get((event.box, group))
+                    if start is not None:
+                        changes.append(_change(events, group, start, order, event))
     return changes
 
 
--- a/wharftiller/tests/platform/test_homes.py
+++ b/wharftiller/tests/platform/test_homes.py
@@ -138,6 +138,18 @@
 
         run_scarce(story)
 
+    def test_a_box_runs_statements_itself_when_all_homes_beside_it_are_lost(self) -> None:
+        async def story(world: World) -> None:
+            box, other = others_in(world, "a")
+            caller = await world.call(box, "primary")
+            await caller.ask("WRITE seat1 anna")
+            await world.kill_box(home_of(world, "a"))
+            await world.kill_box(other)
+            assert (await caller.ask("READ seat1"))[0] == "ROW anna"
+            assert (await caller.ask("WRITE seat1 boris"))[0] == "ROW written"
+
+        run_scarce(story)
+
     def test_a_write_is_unknown_when_its_home_goes_dark_under_it(self) -> None:
         async def story(world: World) -> None:
             world.groups[0].work_s = 0.3
--- a/wharftiller/tests/platform/test_isolation.py
+++ b/wharftiller/tests/platform/test_isolation.py
@@ -46,6 +46,17 @@
 
         run_in_world(story)
 
+    def test_a_data_centre_that_hears_nobody_stays_isolated_as_long_as_the_cut(self) -> None:
+        """Although no primary stands in one of those that it does not hear."""
+
+        async def story(world: World) -> None:
+            cut_off_data_centre(world, 2)
+            for _ in range(10):
+                await trio.sleep(SEEN_S)
+                assert "box-3" not in ready_boxes(world)
+
+        run_in_world(story)
+
     def test_the_side_of_a_cut_that_has_the_primaries_serves_all(self) -> None:
         """Also where it is the smaller one: the others send their callers there."""
 
--- a/wharftiller/tests/soak/run.py
+++ b/wharftiller/tests/soak/run.py
@@ -70,6 +70,7 @@
             async with trio.open_nursery() as nursery:
                 await self._deployment.start(nursery)
                 if not await self._all_serve(STARTED_S):
+                    nursery.cancel_scope.cancel()
                     return ["not every box served after the start"]
                 await self._load()
                 self._deployment.each_link(Link.heal)
--- a/wharftiller/tests/test_run_report.py
+++ b/wharftiller/tests/test_run_report.py
@@ -68,6 +68,17 @@
         assert change.silent_s == pytest.approx(1.8)
         assert change.change_s == pytest.approx(0.8)
 
+    def test_two_groups_moved_in_one_record_are_two_changes(self) -> None:
+        events = [
+            line(1.0, "change_of_primary_starts", group="seats", old="one", planned=False),
+            line(1.0, "change_of_primary_starts", group="tours", old="three", planned=False),
+            line(1.4, "promotion_ordered", group="seats", endpoint="two", ok=True),
+            line(1.4, "promotion_ordered", group="tours", endpoint="four", ok=True),
+            line(1.8, "record_written", revision=4),
+        ]
+        changes = report_of(read_events(events)).changes
+        assert [change.group for change in changes] == ["seats", "tours"]
+
     def test_refusals_are_counted_by_time_and_reason(self, told: RunReport) -> None:
         assert told.refusals == {(4.0, "no_capacity"): 2}
 
