Run a statement here once every home asked is lost

Change: the homes asked are passed along. test_a_box_runs_statements_itself_when_all_homes_beside_it_are_lost failed, and passes.

--- a/wharftiller/daemons/sessions/forwarding.py
+++ b/wharftiller/daemons/sessions/forwarding.py
@@ -70,8 +70,9 @@
 
     async def _single(self, routed: RoutedStatement) -> Reply | None:
         may_have_run = False
-        why: str | None = None
-        for home in self._homes_to_try(routed.route.group):
+        why = "no box that serves it answers"
+        tried: set[str] = set()
+        for home in self._homes_to_try(routed.route.group, tried):
             try:
                 return await self._ask(home, routed, self._message(routed))
             except NotSentError as error:
@@ -81,8 +82,8 @@
                 if routed.writes:
                     raise self._unknown(routed, why) from error
                 may_have_run = True
-        if why is None or self._homes.choose(routed.route.group, ()) is None:
-            # With its homes lost for now, this box is the next to run it.
+        if self._homes.choose(routed.route.group, tried) is None:
+            # This box is a home, or the next one with those it asked gone.
             return None
         kind = RefusalKind.ROLLED_BACK if may_have_run else RefusalKind.NO_CAPACITY
         raise StatementRefusedError(kind, come_back(why))
@@ -122,15 +123,16 @@
 
     async def _begin(self, routed: RoutedStatement, transaction: OpenTransaction) -> Reply | None:
         """Have a home begin the transaction with its first statement."""
-        why: str | None = None
-        for home in self._homes_to_try(routed.route.group):
+        why = "no box that serves it answers"
+        tried: set[str] = set()
+        for home in self._homes_to_try(routed.route.group, tried):
             transaction.remote = RemoteTransaction(home.name, secrets.token_hex(8))
             try:
                 return await self._ask_transaction(home, routed, transaction, begins=True)
             except _NotBegunError as error:
                 transaction.remote = None
                 why = str(error)
-        if why is None or self._homes.choose(routed.route.group, ()) is None:
+        if self._homes.choose(routed.route.group, tried) is None:
             return None
         raise StatementRefusedError(RefusalKind.ROLLED_BACK, come_back(why))
 
@@ -197,9 +199,11 @@
 
     # Asking a home ------------------------------------------------------
 
-    def _homes_to_try(self, group: str) -> Iterator[Box]:
-        """Yield homes to ask one after the other; none if this box is to run it itself."""
-        tried: set[str] = set()
+    def _homes_to_try(self, group: str, tried: set[str]) -> Iterator[Box]:
+        """Yield homes to ask one after the other, noting each in ``tried``.
+
+        Ends where this box is to run it itself.
+        """
         while len(tried) < HOMES_TRIED:
             home = self._homes.choose(group, tried)
             if home is None:
