Take the soak's codes of refusals from the adapter

Cause: the soak's ledger spelled six of the platform's codes, which only wharftiller/platform may know. Change: they are looked up there by the kinds of refusal; the six codes are the same (compared), and so is every check.

--- a/wharftiller/tests/soak/ledger.py
+++ b/wharftiller/tests/soak/ledger.py
@@ -10,8 +10,20 @@
 import trio
 
 from standins.line_endpoints import LineGroup, LineServer
-
-NOTHING_KEPT = ("BUSY", "ABORTED", "LAGGING", "READONLY", "MISROUTED", "OVERLOAD")
+from wharftiller.core.sessions.statements import RefusalKind
+from wharftiller.platform.wire import CODES
+
+NOTHING_KEPT = frozenset(
+    CODES[kind]
+    for kind in (
+        RefusalKind.NO_CAPACITY,
+        RefusalKind.ROLLED_BACK,
+        RefusalKind.REPLICA_BEHIND,
+        RefusalKind.NOT_PRIMARY,
+        RefusalKind.WRONG_ENDPOINT,
+        RefusalKind.TOO_MANY_CONNECTIONS,
+    )
+)
 """Codes after which nothing of a statement may be kept."""
 
 MAX_AGE_S = 1.5
