Wait for a place at a full endpoint, and hold fewer connections

Cause: endpoints held 14 to 16 connections of 16, all but one or two idle: those that a box opens beyond its share were used again within the 4 s after which they close. After all boxes lost power, endpoints went on holding the old ones for 3 s, and whoever found no place was refused within 3 ms; callers ask again twice within 0.2 s and are lost. Ruled out: slow starts (a box answers 0.1 to 0.2 s after it started); lack of log positions (once there are places, reads bring them). Change: connections beyond the share close after 0.4 s; a statement waits for a place for its latency goal, the endpoint is asked once in 0.1 s, and what surely cannot be served in time is refused at once as before. The queue and the kept connection have modules of their own. A test: a waiting statement of a lower priority was woken by a connection just opened and could go before a more urgent one; opening now wakes others only where it failed. What is lost then is asked while no box runs.

--- a/wharftiller/daemons/sessions/choice.py
+++ b/wharftiller/daemons/sessions/choice.py
@@ -17,7 +17,7 @@
     from wharftiller.core.positions import LogPosition
     from wharftiller.core.sessions.endpoints import EndpointRow
     from wharftiller.core.sessions.routes import Route
-    from wharftiller.daemons.sessions.pool import PooledConnection
+    from wharftiller.daemons.sessions.pooled_connection import PooledConnection
     from wharftiller.daemons.sessions.routed import RoutedStatement
     from wharftiller.daemons.sessions.state import SharedState
 
--- /dev/null
+++ b/wharftiller/daemons/sessions/place_queue.py
@@ -0,0 +1,64 @@
+"""Statements that wait for a connection to one endpoint, in the order in which they go."""
+
+from __future__ import annotations
+
+import heapq
+
+import attrs
+import trio
+
+
+@attrs.define(order=True)
+class Waiter:
+    """A statement that waits.
+
+    Attributes
+    ----------
+    priority : int
+        Of its route; the lower goes first.
+    ticket : int
+        Rises with each statement that comes.
+    woken : trio.Event
+        Set when it is its turn.
+    """
+
+    priority: int
+    ticket: int
+    woken: trio.Event = attrs.field(factory=trio.Event, order=False)
+
+
+class PlaceQueue:
+    """The waiting statements of one endpoint."""
+
+    def __init__(self) -> None:
+        self._waiters: list[Waiter] = []
+
+    def __len__(self) -> int:
+        return len(self._waiters)
+
+    def ahead(self, priority: int, ticket: int) -> int:
+        """Return how many go before a statement."""
+        return sum(1 for each in self._waiters if (each.priority, each.ticket) < (priority, ticket))
+
+    def join(self, priority: int, ticket: int) -> Waiter:
+        """Add a statement."""
+        waiter = Waiter(priority, ticket)
+        heapq.heappush(self._waiters, waiter)
+        return waiter
+
+    def is_first(self, waiter: Waiter) -> bool:
+        """Return whether ``waiter`` goes next."""
+        return bool(self._waiters) and self._waiters[0] is waiter
+
+    def discard(self, waiter: Waiter) -> bool:
+        """Remove ``waiter``; return whether it still waited."""
+        if waiter not in self._waiters:
+            return False
+        self._waiters.remove(waiter)
+        heapq.heapify(self._waiters)
+        return True
+
+    def wake_next(self) -> None:
+        """Wake who goes next; it waits no more."""
+        if self._waiters:
+            heapq.heappop(self._waiters).woken.set()
--- a/wharftiller/daemons/sessions/pool.py
+++ b/wharftiller/daemons/sessions/pool.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-import heapq
 import itertools
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -11,16 +11,8 @@
 
 from wharftiller.core.errors import EndpointRefusedError, ExchangeError
 from wharftiller.core.sessions.concurrency import ConcurrencyLimit
-from wharftiller.core.sessions.statements import (
-    EndpointQuery,
-    Prepare,
-    PreparedStatement,
-    RefusalKind,
-    Reply,
-    ResetSession,
-    SessionState,
-    SetValue,
-)
+from wharftiller.daemons.sessions.place_queue import PlaceQueue, Waiter
+from wharftiller.daemons.sessions.pooled_connection import PooledConnection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,121 +24,28 @@
 OPEN_TIMEOUT_S = 0.7
 """Time to open a connection, in seconds: a lost first packet is sent again after more."""
 
-REFUSED_PAUSE_S = 0.5
-"""Time without new connections after an endpoint said that it has too many, in seconds."""
+REFUSED_PAUSE_S = 0.1
+"""Time without new connections after an endpoint said that it has too many, in seconds.
+
+Below the latency goals of urgent routes (0.12 s), so that a statement that waits sees a
+second try. An endpoint answers such a try without running anything.
+"""
 
 EXTRA_CONNECTIONS = 2
 """Connections beyond the box's share that are opened when all are in use."""
 
-EXTRA_IDLE_S = 4.0
-"""Time after which an unused connection beyond the share is closed, in seconds."""
+EXTRA_IDLE_S = 0.4
+"""Time after which an unused connection beyond the share is closed, in seconds.
 
-PREPARED_KEPT = 200
-"""Prepared names kept on one connection before it is reset."""
+A box asks one endpoint every 0.1 to 0.2 s under load, on any connection that is idle: kept
+for 4 s, those beyond the share stayed for good and endpoints held 14 to 16 connections
+of 16, all but one or two idle. Boxes that had lost power then found no place for 3 s.
+"""
 
-MAINTENANCE_S = 1.0
+MAINTENANCE_S = 0.25
 """Time between looks for connections to close, in seconds."""
 
 
-@attrs.define(eq=False)
-class PooledConnection:
-    """A connection and what is known to be set on it.
-
-    Attributes
-    ----------
-    via : str or None
-        Address of the box that it goes through.
-    values : dict of str to str
-        Session values that are set on it.
-    prepared : dict of PreparedStatement to str
-        The names that it knows prepared statements by.
-    broken : bool
-        Whether it must not be used again.
-    asking : bool
-        Whether a statement runs on it.
-    """
-
-    number: int
-    pool: EndpointPool
-    link: EndpointConnection
-    via: str | None = None
-    values: dict[str, str] = attrs.field(factory=dict)
-    prepared: dict[PreparedStatement, str] = attrs.field(factory=dict)
-    idle_since: float = 0.0
-    broken: bool = False
-    asking: bool = False
-
-    async def ask(self, query: EndpointQuery) -> Reply:
-        """Run one statement; the connection is useless unless an answer comes.
-
-        Raises
-        ------
-        ExchangeError
-            If the connection breaks first.
-        """
-        row = self.pool.row
-        row.sent(self.number, trio.current_time())
-        done = False
-        self.asking = True
-        try:
-            reply = await self.link.ask(query)
-            done = True
-        finally:
-            self.asking = False
-            self.pool.wake_next()
-            if not done:
-                self.broken = True
-                row.given_up(self.number, trio.current_time())
-        row.answered(self.number, trio.current_time(), reply.position)
-        if reply.refusal is not None and reply.refusal.kind is RefusalKind.NO_CAPACITY:
-            self.pool.note_busy()
-        else:
-            self.pool.note_answered()
-        return attrs.evolve(reply, endpoint=row.name)
-
-    async def take_on(
-        self, session: Session, needed: PreparedStatement | None, *, may_reset: bool = True
-    ) -> None:
-        """Give the connection the session's values and the prepared name that is needed.
-
-        Parameters
-        ----------
-        may_reset : bool
-            False inside a transaction, whose session can only have gained values.
-        """
-        extra = self.values.keys() - session.values.keys()
-        if may_reset and (extra or len(self.prepared) > PREPARED_KEPT):
-            await self._run_own(ResetSession())
-            self.values.clear()
-            self.prepared.clear()
-        for name, value in session.values.items():
-            if self.values.get(name) != value:
-                await self._run_own(SetValue(name, value))
-                self.values[name] = value
-        if needed is not None and needed not in self.prepared:
-            name = f"p{len(self.prepared) + 1}"
-            await self._run_own(Prepare(name, needed))
-            self.prepared[needed] = name
-
-    async def _run_own(self, body: ResetSession | SetValue | Prepare) -> None:
-        """Run a statement of this box's own."""
-        reply = await self.ask(EndpointQuery(body))
-        if reply.refusal is not None:
-            self.broken = True
-            raise ExchangeError(f"{self.pool.row.name} refused {body}: {reply.refusal}")
-
-    def close(self) -> None:
-        """Close it and give its place to another."""
-        self.broken = True
-        self.pool.release(self)
-
-    def release(self, state: SessionState = SessionState.IDLE) -> None:
-        """Give it back; closed unless it stands outside any transaction."""
-        if state is not SessionState.IDLE:
-            self.broken = True
-        self.pool.release(self)
-
-
 @attrs.define(eq=False)
 class EndpointPool:
     """All of this box's connections to one endpoint.
@@ -167,14 +66,14 @@
     _idle: list[PooledConnection] = attrs.field(factory=list)
     _all: set[PooledConnection] = attrs.field(factory=set)
     _opening: int = 0
-    _waiters: list[tuple[int, int, trio.Event]] = attrs.field(factory=list)
+    _queue: PlaceQueue = attrs.field(factory=PlaceQueue)
     _limit: ConcurrencyLimit = attrs.field(factory=ConcurrencyLimit)
     _refused_until: float = 0.0
 
     @property
     def in_use(self) -> int:
         """Statements and transactions on it, and those that wait for a connection."""
-        return len(self._all) - len(self._idle) + self._opening + len(self._waiters)
+        return len(self._all) - len(self._idle) + self._opening + len(self._queue)
 
     @property
     def has_idle(self) -> bool:
@@ -194,6 +93,11 @@
         """
         return sum(1 for each in self._all if each.asking) + self._opening
 
+    @property
+    def _may_open(self) -> bool:
+        """Whether this box may have more connections, if the endpoint has places."""
+        return self.total < self.share() + EXTRA_CONNECTIONS
+
     def note_busy(self) -> None:
         """Note that the endpoint was too busy for a statement: fewer run at once from now on."""
         self._limit.busy(self._running, trio.current_time())
@@ -217,7 +121,7 @@
         Raises
         ------
         EndpointRefusedError
-            If the endpoint takes no connection and this box has none to it.
+            If the endpoint has no place in time, or is another one.
         ExchangeError
             If it cannot be reached.
         """
@@ -230,15 +134,12 @@
                 continue
             if self._idle:
                 return self._take_idle(session)
-            now = trio.current_time()
-            if self.total < self.share() + EXTRA_CONNECTIONS and now >= self._refused_until:
-                opened = await self._open()
-                if opened is not None:
-                    return opened
-            elif not self._all:
-                raise EndpointRefusedError(f"{self.row.name} has no free place", at_limit=True)
-            else:
+            if trio.current_time() < self._refused_until or not self._may_open:
                 await self._wait(priority, ticket, until)
+                continue
+            opened = await self._open()
+            if opened is not None:
+                return opened
 
     def _drop_closed(self) -> None:
         """Close idle connections that the endpoint has closed."""
@@ -258,10 +159,12 @@
         return connection
 
     def _expected_wait_s(self, priority: int, ticket: int) -> float:
-        """Return how long those ahead will take, in seconds."""
-        ahead = sum(1 for each in self._waiters if each[:2] < (priority, ticket))
+        """Return how long it takes at least until a statement gets its turn, in seconds."""
         places = max(1, self._limit.places(self.share() + EXTRA_CONNECTIONS))
-        return (ahead + 1) * self.row.service_s / places
+        queue_s = (self._queue.ahead(priority, ticket) + 1) * self.row.service_s / places
+        if self._all:
+            return queue_s
+        return queue_s + max(0.0, self._refused_until - trio.current_time())
 
     async def _wait(self, priority: int, ticket: int, until: float) -> None:
         """Wait for a connection; the lower ``priority`` goes first, then who came first.
@@ -275,35 +178,63 @@
         if trio.current_time() + expected_s > until:
             detail = f"the queue for {self.row.name} takes {expected_s:.2f} s"
             raise EndpointRefusedError(detail, at_limit=True)
-        woken = trio.Event()
-        entry = (priority, ticket, woken)
-        heapq.heappush(self._waiters, entry)
+        waiter = self._queue.join(priority, ticket)
         try:
             with trio.move_on_at(until):
-                await woken.wait()
+                await self._wait_turn(waiter)
                 return
         except trio.Cancelled:
-            self._leave_queue(entry)
+            self._stop_waiting(waiter)
             raise
-        self._leave_queue(entry)
+        self._stop_waiting(waiter)
         raise EndpointRefusedError(f"{self.row.name} had no free place in time", at_limit=True)
 
-    def _leave_queue(self, entry: tuple[int, int, trio.Event]) -> None:
+    async def _wait_turn(self, waiter: Waiter) -> None:
+        """Wait until woken or, where more connections may be held, until one may be asked for."""
+        while True:
+            with trio.move_on_at(self._look_again_at(waiter)):
+                await waiter.woken.wait()
+                return
+            if self._may_open and not self._opening and self._queue.is_first(waiter):
+                self._queue.discard(waiter)
+                return
+
+    def _look_again_at(self, waiter: Waiter) -> float:
+        """Return when ``waiter`` looks whether to ask the endpoint, in seconds."""
+        if not self._may_open:
+            # Whoever gives a connection back wakes the next.
+            return math.inf
+        now = trio.current_time()
+        if self._queue.is_first(waiter) and now < self._refused_until:
+            return self._refused_until
+        return now + REFUSED_PAUSE_S
+
+    def _stop_waiting(self, waiter: Waiter) -> None:
         """Wait no longer; who was woken meanwhile passes that on."""
-        if entry in self._waiters:
-            self._waiters.remove(entry)
-            heapq.heapify(self._waiters)
-        else:
+        if not self._queue.discard(waiter):
             self.wake_next()
 
     def wake_next(self) -> None:
         """Wake who waits first."""
-        if self._waiters:
-            heapq.heappop(self._waiters)[2].set()
+        self._queue.wake_next()
 
     async def _open(self) -> PooledConnection | None:
-        """Open a connection; None if the endpoint has too many and others may come free."""
+        """Open a connection; None if the endpoint has too many."""
         self._opening += 1
+        connection: PooledConnection | None = None
+        try:
+            link = await self._dial()
+            if link is not None:
+                connection = PooledConnection(next(self._numbers), self, link, self.via)
+                self._all.add(connection)
+        finally:
+            self._opening -= 1
+            if not self._all:
+                self.wake_next()
+        return connection
+
+    async def _dial(self) -> EndpointConnection | None:
+        """Return a new connection; None if the endpoint has too many."""
         started = trio.current_time()
         try:
             with trio.fail_after(OPEN_TIMEOUT_S):
@@ -313,20 +244,14 @@
             raise ExchangeError(f"{self.row.name} took no connection in time") from None
         except EndpointRefusedError as error:
             self._refused(error)
-            if error.at_limit and self._all:
+            if error.at_limit:
                 return None
             raise
         except ExchangeError:
             self.row.failed(started)
             raise
-        finally:
-            self._opening -= 1
-            if not self._all:
-                self.wake_next()
         self.row.heard(trio.current_time())
-        connection = PooledConnection(next(self._numbers), self, link, self.via)
-        self._all.add(connection)
-        return connection
+        return link
 
     def _refused(self, error: EndpointRefusedError) -> None:
         if error.at_limit:
--- a/wharftiller/daemons/sessions/routed.py
+++ b/wharftiller/daemons/sessions/routed.py
@@ -21,7 +21,7 @@
     from wharftiller.core.positions import LogPosition
     from wharftiller.core.sessions.routes import Route
     from wharftiller.core.sessions.session import Session
-    from wharftiller.daemons.sessions.pool import PooledConnection
+    from wharftiller.daemons.sessions.pooled_connection import PooledConnection
 
 COME_BACK_MS = 300
 """When to come back after a refusal that passes soon, in milliseconds."""
--- a/wharftiller/daemons/sessions/singles.py
+++ b/wharftiller/daemons/sessions/singles.py
@@ -31,7 +31,7 @@
     from wharftiller.core.sessions.statements import Statement
     from wharftiller.daemons.sessions.choice import EndpointChooser
     from wharftiller.daemons.sessions.patience import ReadPatience
-    from wharftiller.daemons.sessions.pool import PooledConnection
+    from wharftiller.daemons.sessions.pooled_connection import PooledConnection
     from wharftiller.daemons.sessions.routed import RoutedStatement
     from wharftiller.daemons.sessions.state import SharedState
 
--- a/wharftiller/daemons/sessions/state.py
+++ b/wharftiller/daemons/sessions/state.py
@@ -23,7 +23,7 @@
     from collections.abc import Callable, Iterable
 
     from wharftiller.core.sessions.statements import Refusal
-    from wharftiller.daemons.sessions.pool import PooledConnection
+    from wharftiller.daemons.sessions.pooled_connection import PooledConnection
     from wharftiller.daemons.sessions.seams import EndpointDialer
     from wharftiller.decisions import DecisionLog
 
--- /dev/null
+++ b/wharftiller/tests/daemons/sessions/test_pool.py
@@ -0,0 +1,173 @@
+"""Who gets a connection to an endpoint, when, and which connections are kept."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import pytest
+import trio
+import trio.testing
+
+from wharftiller.core.errors import EndpointRefusedError
+from wharftiller.core.sessions.endpoints import EndpointRow
+from wharftiller.core.sessions.routes import EndpointEntry
+from wharftiller.core.sessions.session import Session
+from wharftiller.core.sessions.statements import EndpointQuery, EndpointStatus, Reply, SessionState
+from wharftiller.daemons.sessions.pool import EXTRA_IDLE_S, REFUSED_PAUSE_S, EndpointPool
+from wharftiller.daemons.sessions.pooled_connection import PooledConnection
+
+OPEN_S = 0.012
+GOAL_S = 0.25
+
+
+class FakeConnection:
+    """A connection on which nothing is asked."""
+
+    def __init__(self, dialer: FakeDialer) -> None:
+        self._dialer = dialer
+        self.usable = True
+
+    async def ask(self, query: EndpointQuery) -> Reply:
+        return Reply(SessionState.IDLE)
+
+    async def status(self) -> EndpointStatus | None:
+        return None
+
+    def close(self) -> None:
+        self._dialer.free += 1
+
+
+class FakeDialer:
+    """An endpoint with so many ``free`` places."""
+
+    def __init__(self, free: int) -> None:
+        self.free = free
+        self.asked = 0
+
+    async def open(self, entry: EndpointEntry, via: str | None = None) -> FakeConnection:
+        self.asked += 1
+        await trio.sleep(OPEN_S)
+        if not self.free:
+            raise EndpointRefusedError("full", at_limit=True)
+        self.free -= 1
+        return FakeConnection(self)
+
+
+def session() -> Session:
+    return Session(1, "seats-db", "desk")
+
+
+def make_pool(dialer: FakeDialer, share: int = 1) -> EndpointPool:
+    entry = EndpointEntry("one", "seats", "10.2.0.1:5", "a", True, False)
+    return EndpointPool(EndpointRow(entry), dialer, lambda: share)
+
+
+def run(story: Callable[[], Awaitable[None]]) -> None:
+    trio.run(story, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+async def freed_after(dialer: FakeDialer, seconds: float) -> None:
+    await trio.sleep(seconds)
+    dialer.free += 1
+
+
+class TestFullEndpoint:
+    """An endpoint still holds the connections of boxes that lost power."""
+
+    def test_a_statement_gets_the_place_that_comes_free_within_its_goal(self) -> None:
+        async def story() -> None:
+            dialer = FakeDialer(free=0)
+            pool = make_pool(dialer)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(freed_after, dialer, 0.15)
+                connection = await pool.acquire(session(), 1, GOAL_S)
+            assert isinstance(connection, PooledConnection)
+            assert trio.current_time() < GOAL_S
+
+        run(story)
+
+    def test_one_that_cannot_be_served_in_time_is_refused_at_once(self) -> None:
+        async def story() -> None:
+            pool = make_pool(FakeDialer(free=0))
+            patience_s = REFUSED_PAUSE_S / 2
+            with pytest.raises(EndpointRefusedError):
+                await pool.acquire(session(), 1, patience_s)
+            assert trio.current_time() < patience_s
+
+        run(story)
+
+    def test_no_statement_waits_beyond_its_goal(self) -> None:
+        async def story() -> None:
+            pool = make_pool(FakeDialer(free=0))
+            with pytest.raises(EndpointRefusedError):
+                await pool.acquire(session(), 1, GOAL_S)
+            assert trio.current_time() <= GOAL_S + 0.001
+
+        run(story)
+
+    def test_those_who_wait_ask_the_endpoint_once_a_pause_not_once_each(self) -> None:
+        async def story() -> None:
+            dialer = FakeDialer(free=0)
+            pool = make_pool(dialer)
+
+            async def ask() -> None:
+                with pytest.raises(EndpointRefusedError):
+                    await pool.acquire(session(), 1, GOAL_S)
+
+            async with trio.open_nursery() as nursery:
+                for _ in range(30):
+                    nursery.start_soon(ask)
+            first_together = 3
+            assert dialer.asked <= first_together + GOAL_S / REFUSED_PAUSE_S
+
+        run(story)
+
+    def test_the_more_urgent_goes_first(self) -> None:
+        async def story() -> None:
+            dialer = FakeDialer(free=0)
+            pool = make_pool(dialer)
+            served: list[int] = []
+
+            async def ask(priority: int) -> None:
+                connection = await pool.acquire(session(), priority, 2.0)
+                served.append(priority)
+                connection.release()
+
+            async with trio.open_nursery() as nursery:
+                for priority in (5, 3, 1):
+                    nursery.start_soon(ask, priority)
+                nursery.start_soon(freed_after, dialer, 0.5)
+            assert served == [1, 3, 5]
+
+        run(story)
+
+    def test_a_place_that_comes_free_serves_beside_a_transaction_that_rests(self) -> None:
+        async def story() -> None:
+            dialer = FakeDialer(free=1)
+            pool = make_pool(dialer)
+            await pool.acquire(session(), 1, GOAL_S)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(freed_after, dialer, 0.15)
+                await pool.acquire(session(), 1, GOAL_S)
+            assert pool.total == 2
+
+        run(story)
+
+
+class TestKept:
+    def test_connections_beyond_the_share_go_once_they_are_not_needed(self) -> None:
+        async def story() -> None:
+            dialer = FakeDialer(free=16)
+            pool = make_pool(dialer)
+            taken = [await pool.acquire(session(), 1, GOAL_S) for _ in range(3)]
+            for connection in taken:
+                connection.release()
+            # One statement at a time, each on the connection used last.
+            for _ in range(10):
+                await trio.sleep(EXTRA_IDLE_S / 4)
+                (await pool.acquire(session(), 1, GOAL_S)).release()
+                pool.trim(trio.current_time())
+            assert pool.total == 1
+            assert dialer.free == 15
+
+        run(story)
