Send all sessions away that an isolated box cannot serve; decide on isolation in the core

Cause: an isolated box closed the sessions at rest once, 2.3 s after it turned unready. Ruled out: sessions of the other side (their primaries are near). Change: they are closed at their next rest. Who comes although the balancer knows is kept: no other box takes it. When to be isolated, until when and whom to send away is a pure decision of the core.

--- a/wharftiller/daemons/sessions/callers.py
+++ b/wharftiller/daemons/sessions/callers.py
@@ -31,9 +31,16 @@
 
 @attrs.define(eq=False)
 class _Served:
-    """A session being served and, while it waits for a statement, the scope to end that."""
+    """A session being served and, while it waits for a statement, the scope to end that.
+
+    Attributes
+    ----------
+    opened_at : float
+        In seconds.
+    """
 
     session: Session
+    opened_at: float
     waiting: trio.CancelScope | None = None
     sent_away: bool = False
 
@@ -57,7 +64,7 @@
     async def serve(self, channel: CallerChannel, database: str, caller: str) -> None:
         """Serve one session until the caller leaves or this box stops."""
         self._numbers += 1
-        served = _Served(Session(self._numbers, database, caller))
+        served = _Served(Session(self._numbers, database, caller), trio.current_time())
         self._served.add(served)
         try:
             while (statement := await self._next(served, channel)) is not None:
@@ -105,11 +112,16 @@
         self._closing_idle = True
         self._cancel_waiting()
 
-    def send_away(self, groups: Collection[str]) -> int:
-        """Close the sessions on ``groups`` that rest outside a transaction; return how many."""
+    def send_away(self, groups: Collection[str], opened_before: float) -> int:
+        """Close the sessions on ``groups`` that rest outside a transaction; return how many.
+
+        Those opened later than ``opened_before`` (seconds) stay.
+        """
         routes = self._state.configuration.routes
         sent = 0
         for served in self._served:
+            if served.sent_away or served.opened_at > opened_before:
+                continue
             route = routes.get(served.session.database)
             resting = served.waiting is not None and served.session.transaction is None
             if resting and route is not None and route.group in groups:
--- a/wharftiller/daemons/sessions/drain.py
+++ b/wharftiller/daemons/sessions/drain.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from wharftiller.daemons.sessions.isolation import BALANCER_SEES_S
+from wharftiller.core.sessions.isolation import BALANCER_SEES_S
 
 if TYPE_CHECKING:
     from wharftiller.daemons.sessions.callers import SessionServer
--- /dev/null
+++ b/wharftiller/tests/core/sessions/test_isolation.py
@@ -0,0 +1,81 @@
+"""When a box counts itself as isolated, without boxes."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+
+from wharftiller.core.sessions.isolation import (
+    BALANCER_SEES_S,
+    ISOLATED_MOST_S,
+    Begin,
+    End,
+    Isolation,
+    IsolationView,
+    SendAway,
+    Unchanged,
+)
+
+CUT_OFF = IsolationView(
+    now=10.0,
+    groups=3,
+    unusable=frozenset({"one", "two"}),
+    away={"one": "b", "two": "c"},
+    elsewhere=frozenset({"b", "c"}),
+    silent=frozenset({"b", "c"}),
+)
+"""A box of data centre a, cut off from the others."""
+
+
+def isolated() -> Isolation:
+    isolation = Isolation()
+    assert isolation.decide(CUT_OFF) == Begin(frozenset({"b", "c"}))
+    return isolation
+
+
+def later(by_s: float, **changes: object) -> IsolationView:
+    return attrs.evolve(CUT_OFF, now=CUT_OFF.now + by_s, **changes)  # type: ignore[arg-type]
+
+
+class TestBegin:
+    @pytest.mark.parametrize(
+        "view",
+        [
+            attrs.evolve(CUT_OFF, groups=4),
+            attrs.evolve(CUT_OFF, silent=frozenset({"b"})),
+            attrs.evolve(CUT_OFF, silent=frozenset()),
+            attrs.evolve(CUT_OFF, away={"one": "b"}),
+        ],
+        ids=["half", "some-answer", "all-answer", "one-stands-here"],
+    )
+    def test_only_most_primaries_beyond_a_silence_count(self, view: IsolationView) -> None:
+        assert Isolation().decide(view) == Unchanged()
+
+    def test_nobody_is_asked_while_most_can_be_used(self) -> None:
+        assert not Isolation().centres_to_ask(attrs.evolve(CUT_OFF, groups=4))
+        assert Isolation().centres_to_ask(CUT_OFF) == {"b", "c"}
+
+
+class TestEnd:
+    def test_it_ends_once_one_of_them_answers(self) -> None:
+        isolation = isolated()
+        assert isolation.decide(later(1.0, silent=frozenset({"b"}))) == End()
+        assert isolation.since is None
+
+    def test_where_all_are_silent_it_lasts(self) -> None:
+        assert isinstance(isolated().decide(later(ISOLATED_MOST_S + 1)), SendAway)
+
+    def test_who_hears_a_further_data_centre_waits_only_a_while(self) -> None:
+        isolation = isolated()
+        further = frozenset({"b", "c", "d"})
+        assert isolation.decide(later(ISOLATED_MOST_S + 1, elsewhere=further)) == End()
+        assert isolation.decide(later(ISOLATED_MOST_S + 2, elsewhere=further)) == Unchanged()
+
+
+class TestSessions:
+    def test_they_are_sent_away_once_the_balancer_knows(self) -> None:
+        isolation = isolated()
+        assert isolation.decide(later(BALANCER_SEES_S - 0.1)) == Unchanged()
+        sent = SendAway(CUT_OFF.unusable, CUT_OFF.now + BALANCER_SEES_S)
+        assert isolation.decide(later(BALANCER_SEES_S + 0.1)) == sent
+        assert isolation.decide(later(BALANCER_SEES_S + 1.0)) == sent
--- a/wharftiller/tests/platform/test_stops.py
+++ b/wharftiller/tests/platform/test_stops.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from wharftiller.daemons.sessions.isolation import BALANCER_SEES_S
+from wharftiller.core.sessions.isolation import BALANCER_SEES_S
 from wharftiller.tests.platform.world import BoxProcess, Caller, World, run_in_world
 
 GRACE_S = 6.0
