--- a/wharftiller/core/sessions/routing.py
+++ b/wharftiller/core/sessions/routing.py
@@ -31,11 +31,11 @@
 POSITION_RECENT_S = 0.1
 """A told log position stands for the present one for so long, in seconds."""
 
-LEAD_COST = 1.0
+LEAD_COST = 2.0
 """Statements that the primary is taken to run already: it alone serves writes.
 
-No more than `DISTANCE_COST`: where the primary is the near endpoint, reads stay with it
-until it is busier than the replicas elsewhere.
+More than `DISTANCE_COST`, so that lookups leave a near primary to the bookings while a
+replica elsewhere is idle.
 """
 
 DISTANCE_COST = 1.0
