Derive times from the platform's bounds instead of the deployments seen

Cause: a leaving primary was used for 5.5 s and a missing one for 4.8 s because the deployments served allow 7 s, and the platform was read so often that a configuration is in force within 3 s; of the bounds in the settings only the grace was read. Change: the adapter decodes the bounds once into a type of the core; the times are margins before, or parts of, what it holds. A bound of a contract in force must be stated and be a number that makes sense, else the process ends with the field, its value and what would do. Measured: the whole path with bounds halved, usual and doubled (tests in virtual time): a leaving primary is used no longer than it serves, a change that watches do not tell is in force in time, a stop ends within the grace.

--- a/wharftiller/core/leadership/moves.py
+++ b/wharftiller/core/leadership/moves.py
@@ -28,11 +28,11 @@
 answers meanwhile; all together must stay within 12 s.
 """
 
-LAPSED_S = 4.8
-"""How long a primary that answers may be missing from the list, in seconds.
+LAPSED_MARGIN_S = 2.2
+"""How long before it may end a primary missing from the list is replaced, in seconds.
 
-Its entry may come back two seconds after a cut heals; the platforms served allow 7 s
-from its disappearance, and a planned change takes one to two.
+A planned change takes one to two. Until then its entry may come back: a lapsed one does
+within two seconds after a cut heals.
 """
 
 TURN_S = 0.4
@@ -86,7 +86,7 @@
         return False
     wait_s = turn * HAND_OVER_TURN_S
     if row.missing_since is not None:
-        wait_s += LAPSED_S
+        wait_s += max(0.0, row.entry.leaving_serves_s - LAPSED_MARGIN_S)
     return now - row.leaving_since >= wait_s
 
 
--- a/wharftiller/core/sessions/endpoints.py
+++ b/wharftiller/core/sessions/endpoints.py
@@ -24,11 +24,11 @@
 SILENCE_FACTOR = 6.0
 """An answer owed for so many service times is taken as silence."""
 
-LEAVING_PRIMARY_S = 5.5
-"""Time for which a primary that said it is leaving is still used, in seconds.
+LEAVING_MARGIN_S = 1.5
+"""How long before a leaving primary may end it is used no more, in seconds.
 
-The platforms served allow 7 s and more from the announcement; this leaves 1.5 s for
-the announcement's way here and for a statement on its way there.
+For the announcement's way here (a read of the platform every 0.8 s) and a statement's way
+there (0.7 s to get a connection).
 """
 
 MISSING_GONE_S = 2.5
@@ -86,7 +86,9 @@
 
     def may_still_lead(self, now: float) -> bool:
         """Return whether a primary that is about to end may still be sent statements."""
-        return self.leaving_since is None or now - self.leaving_since < LEAVING_PRIMARY_S
+        if self.leaving_since is None:
+            return True
+        return now - self.leaving_since < self.entry.leaving_serves_s - LEAVING_MARGIN_S
 
     def is_taken_as_gone(self, now: float) -> bool:
         """Return whether it is missing from the list for good."""
--- a/wharftiller/core/sessions/routes.py
+++ b/wharftiller/core/sessions/routes.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from wharftiller.core.sessions.bounds import PlatformBounds
+
 
 @attrs.frozen
 class PrimaryReads:
@@ -96,6 +98,8 @@
         Whether it takes itself for the primary.
     leaving : bool
         Whether it is about to end.
+    leaving_serves_s : float
+        For how long it goes on serving once it has said so, in seconds.
     """
 
     name: str
@@ -104,3 +108,4 @@
     data_centre: str
     leads: bool
     leaving: bool
+    leaving_serves_s: float = PlatformBounds().leaving_serves_s
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -34,6 +34,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from wharftiller.core.sessions.bounds import PlatformBounds
     from wharftiller.core.sessions.routes import SessionConfiguration
     from wharftiller.daemons.sessions.seams import (
         EndpointDialer,
@@ -53,16 +54,22 @@
 """
 
 READER_READS_S = 0.8
-"""Time between reads by the box that reads for all, in seconds.
+"""Longest time between reads by the box that reads for all, in seconds.
 
-A configuration must be in force within 3 s, also where the platform's watches do not
-tell it: this, `READ_KNOWN_S` for a reader that is cut off, and a read must fit in.
+Leases of 6 s are renewed by what it reads where there are many boxes.
 """
 
-READ_KNOWN_S = 1.9
-"""Age of the newest read of any box from which a box reads for itself, in seconds.
+READER_READS_PART = 0.27
+"""Longest time between its reads, as a part of that within which a configuration is in force.
 
-A reader's pause (0.8 s) and the time between rounds (1 s), and a margin.
+Also where the platform's watches do not tell a change: this part, `READ_KNOWN_PART` for a
+reader that is cut off, and a read must fit in.
+"""
+
+READ_KNOWN_PART = 0.63
+"""Age of the newest read of any box from which a box reads for itself, as such a part.
+
+Of 3 s: a reader's pause (0.8 s), the time between rounds (1 s), and a margin.
 """
 
 REGISTERED_S = 0.6
@@ -99,8 +106,8 @@
         Where it connects other boxes to endpoints.
     seeds : tuple of str
         Addresses of boxes that may be asked at a start.
-    grace_s : float
-        Time between being told to stop and being killed, in seconds.
+    bounds : PlatformBounds
+        What the platform promises and asks.
     first_start : bool
         Whether the whole deployment starts for the first time.
     """
@@ -110,7 +117,7 @@
     address: str
     relay: str
     seeds: tuple[str, ...]
-    grace_s: float
+    bounds: PlatformBounds
     first_start: bool = False
 
 
@@ -139,6 +146,9 @@
         self._shared = shared
         self._log = log
         self._nursery = nursery
+        in_force_s = identity.bounds.configuration_in_force_s
+        self._reader_reads_s = min(READER_READS_S, READER_READS_PART * in_force_s)
+        self._read_known_s = READ_KNOWN_PART * in_force_s
         incarnation = f"{identity.name}/{secrets.token_hex(6)}"
         self._box = Box(
             identity.name, identity.address, identity.relay, incarnation, identity.data_centre
@@ -268,14 +278,18 @@
         """Return whether to read again, ``since_s`` seconds after the last try."""
         if since_s >= MISSING_LEASE_READ_S and self.state.leases.misses_lease(trio.current_time()):
             return True
-        if since_s < READER_READS_S:
+        if since_s < self._reader_reads_s:
             return False
         if self._readers.applies:
             return self._readers.is_reader or not self._renewed
         if since_s >= SHARED_READ_S:
             return True
         read_at = self._directory.platform_read_at
-        return self._is_reader or not self._renewed or trio.current_time() - read_at > READ_KNOWN_S
+        return (
+            self._is_reader
+            or not self._renewed
+            or trio.current_time() - read_at > self._read_known_s
+        )
 
     @property
     def _is_reader(self) -> bool:
@@ -314,7 +328,7 @@
         self._desk.note(listing, asked_at)
         self.take_listing(listing, asked_at)
         reads_for_others = self._is_reader or not self._renewed
-        if reads_for_others or asked_at - self._directory.platform_read_at > READ_KNOWN_S:
+        if reads_for_others or asked_at - self._directory.platform_read_at > self._read_known_s:
             self._feeds.noticed(listing.revision)
         self._directory.platform_read_at = max(self._directory.platform_read_at, asked_at)
 
@@ -371,7 +385,7 @@
         self._unready = True
         self._log.change("stopping", sessions=self.sessions.count)
         self._nursery.start_soon(self._directory.tell_leaving)
-        await self._drain.run(started, self._identity.grace_s)
+        await self._drain.run(started, self._identity.bounds.grace_s)
         self._log.change("stopped", sessions=self.sessions.count)
         with trio.move_on_after(LAST_MOMENT_S / 2):
             try:
--- a/wharftiller/platform/feeds.py
+++ b/wharftiller/platform/feeds.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from wharftiller.core.sessions.bounds import PlatformBounds
     from wharftiller.daemons.sessions.state import SharedState
     from wharftiller.decisions import DecisionLog
     from wharftiller.edges.http_client import HttpClient
@@ -139,8 +140,14 @@
     """Brings configuration and endpoints into a session proxy's state."""
 
     def __init__(
-        self, store: ObjectStore, state: SharedState, missed: Callable[[], None], log: DecisionLog
+        self,
+        store: ObjectStore,
+        bounds: PlatformBounds,
+        state: SharedState,
+        missed: Callable[[], None],
+        log: DecisionLog,
     ) -> None:
+        self._bounds = bounds
         self._state = state
         self._log = log
         self._nursery: trio.Nursery | None = None
@@ -179,4 +186,5 @@
         return self._state.take_configuration(configuration, "platform")
 
     def _take_endpoints(self, objects: Objects, revision: int) -> bool:
-        return self._state.take_endpoints(decode_endpoints(objects, self._log), revision)
+        entries = decode_endpoints(objects, self._bounds, self._log)
+        return self._state.take_endpoints(entries, revision)
--- a/wharftiller/platform/objects.py
+++ b/wharftiller/platform/objects.py
@@ -23,6 +23,7 @@
 from wharftiller.edges.leadership_json import record_from_json, record_to_json
 
 if TYPE_CHECKING:
+    from wharftiller.core.sessions.bounds import PlatformBounds
     from wharftiller.decisions import DecisionLog
     from wharftiller.platform.store import ObjectStore, StoredObject
 
@@ -108,7 +109,7 @@
             return PrimaryReads()
 
 
-def decode_endpoint(stored: StoredObject) -> EndpointEntry:
+def decode_endpoint(stored: StoredObject, bounds: PlatformBounds) -> EndpointEntry:
     """Return the endpoint that registered itself in ``stored``.
 
     Raises
@@ -124,15 +125,18 @@
         data_centre=str(spec.get("Zone", "")),
         leads=spec.get("DbRole") == "primary",
         leaving=spec.get("State") == "draining",
+        leaving_serves_s=bounds.leaving_serves_s,
     )
 
 
-def decode_endpoints(objects: dict[str, StoredObject], log: DecisionLog) -> list[EndpointEntry]:
+def decode_endpoints(
+    objects: dict[str, StoredObject], bounds: PlatformBounds, log: DecisionLog
+) -> list[EndpointEntry]:
     """Return every endpoint that can be understood; the others are logged."""
     entries = []
     for stored in objects.values():
         try:
-            entries.append(decode_endpoint(stored))
+            entries.append(decode_endpoint(stored, bounds))
         except (KeyError, TypeError, AttributeError) as error:
             log.event("endpoint_not_understood", endpoint=stored.name, why=repr(error))
     return entries
--- a/wharftiller/platform/settings.py
+++ b/wharftiller/platform/settings.py
@@ -9,6 +9,7 @@
 import orjson
 
 from wharftiller.core.errors import WharfError
+from wharftiller.core.sessions.bounds import PlatformBounds
 
 METRICS_PORT = 9464
 """Port of the page of metrics; deploy/system.toml names it to the platform."""
@@ -19,6 +20,12 @@
 Twelve endpoints with a few connections each and 72 boxes need some 300.
 """
 
+LONGEST_BOUND_S = 3600.0
+"""A bound of an hour or more is taken for a mistake, in seconds: those seen are 3 to 15 s."""
+
+MS = 0.001
+"""One of the platform's milliseconds, in seconds."""
+
 DEFAULT_MAX_SESSIONS = 3_400
 """Callers' connections taken where no limit of descriptors is given; the lowest seen is 4,200."""
 
@@ -44,8 +51,8 @@
         Address of the page of metrics.
     store, duties : str
         Addresses of the platform's objects and of its singleton duties.
-    grace_s : float
-        Time from being told to stop until being killed, in seconds.
+    bounds : PlatformBounds
+        What the platform promises and asks.
     first_start : bool
         Whether the whole deployment starts for the first time.
     max_sessions : int
@@ -62,7 +69,7 @@
     seeds: tuple[str, ...]
     store: str
     duties: str
-    grace_s: float
+    bounds: PlatformBounds
     first_start: bool = False
     max_sessions: int = DEFAULT_MAX_SESSIONS
 
@@ -73,6 +80,35 @@
     return max(1, descriptors - OWN_DESCRIPTORS)
 
 
+def _bounds(value: dict[str, Any], path: str) -> PlatformBounds:
+    """Return the bounds; those of the contracts in force must be stated, and make sense."""
+    contracts = value.get("Contracts") or ()
+    stated = value["Bounds"]
+    defaults = PlatformBounds()
+
+    def seconds(name: str, needed: bool, unit_s: float, default_s: float) -> float:
+        if name not in stated and not needed:
+            return default_s
+        given = stated.get(name)
+        is_number = isinstance(given, int | float) and not isinstance(given, bool)
+        if not is_number or not 0 < given * unit_s < LONGEST_BOUND_S:
+            most = LONGEST_BOUND_S / unit_s
+            raise PlatformSettingsError(
+                f"{path}: Bounds.{name} is {given!r}; give a number above 0 and below {most:.0f},"
+                f" as the platform states it"
+            )
+        return float(given * unit_s)
+
+    return PlatformBounds(
+        grace_s=seconds("GraceS", True, 1.0, defaults.grace_s),
+        # How long a leaving endpoint goes on serving; the platform calls it draining.
+        leaving_serves_s=seconds("DrainMs", "drain" in contracts, MS, defaults.leaving_serves_s),
+        configuration_in_force_s=seconds(
+            "ConfigApplyMs", "config" in contracts, MS, defaults.configuration_in_force_s
+        ),
+    )
+
+
 def load_settings(path: str) -> ProcessSettings:
     """Return the settings of ``path``.
 
@@ -99,7 +135,7 @@
             seeds=tuple(str(each) for each in value.get("Seeds") or ()),
             store=str(value["platform"]["Address"]),
             duties=str(value["CloudApi"]["Address"]),
-            grace_s=float(value["Bounds"]["GraceS"]),
+            bounds=_bounds(value, path),
             first_start=value.get("FirstStart") is True,
             max_sessions=_max_sessions(value.get("Limits") or {}),
         )
--- a/wharftiller/tests/platform/test_bad_input.py
+++ b/wharftiller/tests/platform/test_bad_input.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies as st
 
 from wharftiller.core.errors import BadRequestError, ExchangeError, PlatformUnavailableError
+from wharftiller.core.sessions.bounds import PlatformBounds
 from wharftiller.edges.leadership_json import record_from_json
 from wharftiller.edges.transport import TcpTransport
 from wharftiller.platform.objects import decode_configuration
@@ -157,7 +158,11 @@
         path = tmp_path / "settings.json"
         path.write_bytes(orjson.dumps(self.SETTINGS))
         settings = load_settings(str(path))
-        assert (settings.box, settings.relay, settings.grace_s) == ("box-1", "10.1.0.1:7440", 6.0)
+        assert (settings.box, settings.relay, settings.bounds.grace_s) == (
+            "box-1",
+            "10.1.0.1:7440",
+            6.0,
+        )
 
     @pytest.mark.parametrize("missing", sorted(set(SETTINGS) - {"Unknown", "Seeds"}))
     def test_a_missing_field_is_named(self, missing: str, tmp_path: Path) -> None:
@@ -166,6 +171,34 @@
         with pytest.raises(PlatformSettingsError, match=missing):
             load_settings(str(path))
 
+    def test_bounds_are_decoded_into_seconds(self, tmp_path: Path) -> None:
+        path = tmp_path / "settings.json"
+        bounds = {"GraceS": 3, "DrainMs": 3500, "ConfigApplyMs": 1500.0}
+        path.write_bytes(orjson.dumps({**self.SETTINGS, "Bounds": bounds}))
+        assert load_settings(str(path)).bounds == PlatformBounds(3.0, 3.5, 1.5)
+
+    @pytest.mark.parametrize("name", ["GraceS", "DrainMs", "ConfigApplyMs"])
+    @pytest.mark.parametrize("value", [None, 0, -5, "7000", True, 10**9, [7000]])
+    def test_a_bound_without_sense_is_named_with_what_would_do(
+        self, name: str, value: Any, tmp_path: Path
+    ) -> None:
+        path = tmp_path / "settings.json"
+        bounds = {"GraceS": 6, "DrainMs": 7000, "ConfigApplyMs": 3000, name: value}
+        path.write_bytes(orjson.dumps({**self.SETTINGS, "Bounds": bounds}))
+        with pytest.raises(PlatformSettingsError, match=rf"Bounds\.{name} is .*; give a number"):
+            load_settings(str(path))
+
+    @pytest.mark.parametrize(
+        ("contract", "name"), [("drain", "DrainMs"), ("config", "ConfigApply")]
+    )
+    def test_a_bound_of_a_contract_in_force_must_be_stated(
+        self, contract: str, name: str, tmp_path: Path
+    ) -> None:
+        path = tmp_path / "settings.json"
+        path.write_bytes(orjson.dumps({**self.SETTINGS, "Contracts": ["base", contract]}))
+        with pytest.raises(PlatformSettingsError, match=name):
+            load_settings(str(path))
+
     @pytest.mark.parametrize(
         ("limits", "sessions"), [({"MaxFds": 4200}, 3400), ({}, 3400), ({"MaxFds": 500}, 1)]
     )
--- /dev/null
+++ b/wharftiller/tests/platform/test_bounds.py
@@ -0,0 +1,75 @@
+"""The whole path where the platform's bounds are half or twice as long."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from wharftiller.core.sessions.bounds import PlatformBounds
+from wharftiller.core.sessions.endpoints import LEAVING_MARGIN_S
+from wharftiller.tests.platform.world import STORE_IP, World, run_in_world
+
+USUAL = PlatformBounds()
+HALVED = PlatformBounds(
+    USUAL.grace_s / 2, USUAL.leaving_serves_s / 2, USUAL.configuration_in_force_s / 2
+)
+DOUBLED = PlatformBounds(
+    USUAL.grace_s * 2, USUAL.leaving_serves_s * 2, USUAL.configuration_in_force_s * 2
+)
+
+all_bounds = pytest.mark.parametrize(
+    "bounds", [HALVED, USUAL, DOUBLED], ids=["halved", "usual", "doubled"]
+)
+
+
+@all_bounds
+class TestBounds:
+    def test_a_leaving_primary_gets_nothing_once_it_may_end(self, bounds: PlatformBounds) -> None:
+        """Also while no other can take over: the platform is away."""
+
+        async def story(world: World) -> None:
+            old = world.groups[0].primary
+            old.leaving = True
+            world.register(old)
+            await trio.sleep(0.1)
+            ips = [box.ip for box in world.boxes.values()]
+            world.network.cut([STORE_IP], ips)
+            caller = await world.call(world.boxes["box-1"], "primary")
+            left_at = trio.current_time()
+            while trio.current_time() - left_at < bounds.leaving_serves_s + 1.0:
+                before = len(old.started)
+                await caller.ask("READ seat1")
+                served = len(old.started) > before
+                left_s = bounds.leaving_serves_s - (trio.current_time() - left_at)
+                assert not served or left_s > LEAVING_MARGIN_S / 2
+                await trio.sleep(0.1)
+
+        run_in_world(story, bounds=bounds)
+
+    def test_a_change_that_watches_do_not_tell_is_in_force_in_time(
+        self, bounds: PlatformBounds
+    ) -> None:
+        async def story(world: World) -> None:
+            world.store.deaf_watches = True
+            document = world.store.spec("config", "main")
+            world.store.set("config", "main", {**document, "Version": 7})
+            await trio.sleep(bounds.configuration_in_force_s - 0.1)
+            for box in world.boxes.values():
+                assert box.process.proxy is not None
+                assert box.process.proxy.state.version == 7
+
+        run_in_world(story, bounds=bounds)
+
+    def test_a_stop_ends_within_the_grace(self, bounds: PlatformBounds) -> None:
+        """Although a caller leaves a transaction open."""
+
+        async def story(world: World) -> None:
+            box = world.boxes["box-1"]
+            caller = await world.call(box, "primary")
+            await caller.ask("BEGIN")
+            await caller.ask("READ seat1")
+            box.told.set()
+            with trio.fail_after(bounds.grace_s):
+                await box.ended.wait()
+
+        run_in_world(story, bounds=bounds)
--- a/wharftiller/tests/platform/world.py
+++ b/wharftiller/tests/platform/world.py
@@ -14,6 +14,7 @@
 from standins.line_endpoints import LineGroup, LineServer, serve_server
 from standins.network import FakeNetwork
 from standins.object_store import ObjectStoreStandIn
+from wharftiller.core.sessions.bounds import PlatformBounds
 from wharftiller.decisions import DecisionLog
 from wharftiller.platform.__main__ import PlatformProcess
 from wharftiller.platform.settings import DEFAULT_MAX_SESSIONS, ProcessSettings
@@ -128,8 +129,10 @@
         nursery: trio.Nursery,
         groups: list[LineGroup],
         max_sessions: int = DEFAULT_MAX_SESSIONS,
+        bounds: PlatformBounds | None = None,
     ) -> None:
         self._nursery = nursery
+        self._bounds = bounds or PlatformBounds()
         self._max_sessions = max_sessions
         self.network = FakeNetwork(lambda a, b: 0.001)
         self.groups = groups
@@ -187,7 +190,7 @@
             seeds=("10.1.0.1:3", "10.1.0.2:3"),
             store=STORE,
             duties=STORE,
-            grace_s=6.0,
+            bounds=self._bounds,
             max_sessions=self._max_sessions,
         )
         lines = bytearray()
@@ -239,11 +242,14 @@
 
 @asynccontextmanager
 async def running_world(
-    boxes: int = 3, groups: list[LineGroup] | None = None, max_sessions: int = DEFAULT_MAX_SESSIONS
+    boxes: int = 3,
+    groups: list[LineGroup] | None = None,
+    max_sessions: int = DEFAULT_MAX_SESSIONS,
+    bounds: PlatformBounds | None = None,
 ) -> AsyncIterator[World]:
     """Run a world whose boxes know one another."""
     async with trio.open_nursery() as nursery:
-        world = World(nursery, groups or [make_group()], max_sessions)
+        world = World(nursery, groups or [make_group()], max_sessions, bounds)
         await world.start()
         for number in range(1, boxes + 1):
             await world.start_box(number, "abc"[(number - 1) % 3])
@@ -258,11 +264,12 @@
     boxes: int = 3,
     groups: list[LineGroup] | None = None,
     max_sessions: int = DEFAULT_MAX_SESSIONS,
+    bounds: PlatformBounds | None = None,
 ) -> None:
     """Run ``story`` in virtual time."""
 
     async def main() -> None:
-        async with running_world(boxes, groups, max_sessions) as world:
+        async with running_world(boxes, groups, max_sessions, bounds) as world:
             await story(world)
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
