Tell callers when to come back by what stood in their way, and operators what was lost to it

Cause: every refusal said 'come back in 300 ms', in an outage of 8 s as in a queue of 15 ms, and reports counted refusals by their code alone, which is the same for all of them. Change: a refusal carries its cause; a pure policy of the core turns what is known (how long a change has been recorded and usually takes, how long the primary has been silent, the queue ahead) into a time, spread by a quarter either way so that those refused together do not meet again. The logs name the cause, answers later than their route's goal are always logged, and wharfctl report tells what was not served in its goal by cause and moment, and which refusals came before anybody could have replaced the primary. What logs left out by rate is a row of its own. Conclusion: kept for the callers' and operators' sake.

--- a/benchmarks/log_cost.py
+++ b/benchmarks/log_cost.py
@@ -57,7 +57,7 @@
     for number, request in enumerate(ids):
         statement = Statement(request, "READ seat1", Direct(Access.READ))
         figures.answered(labels, 0.02)
-        log.answered(session, statement, reply, 0.02, lambda: BELIEVED)
+        log.answered(session, statement, reply, 0.02, 0.25, lambda: BELIEVED)
         if number % 100 == 0:
             # As the process does twice a second; also lifts the bound of lines a second.
             log.flush()
--- a/wharftiller/cli/report_tables.py
+++ b/wharftiller/cli/report_tables.py
@@ -6,17 +6,28 @@
 
 from rich.table import Table
 
+from wharftiller.run_losses import Loss
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from wharftiller.run_report import RunReport
 
+COUNTS = ("refused", "unknown", "late", "of the refused: too early to replace")
+"""Columns of the tables of losses."""
+
+BAR = "\u2588"
+BAR_WIDTH = 40
+"""Width of the longest bar, in signs."""
+
 
 def tables_of(report: RunReport) -> Iterator[Table]:
     """Yield the tables of a report."""
     yield _reads(report)
     yield _changes(report)
     yield _refusals(report)
+    yield _losses(report)
+    yield _causes(report)
 
 
 def _reads(report: RunReport) -> Table:
@@ -49,3 +60,32 @@
     for (begin, reason), count in report.refusals.items():
         table.add_row(f"{begin:.0f}", reason, str(count))
     return table
+
+
+def _losses(report: RunReport) -> Table:
+    table = Table(
+        "from second", "cause", *COUNTS, "", title="Not served within the goal, by moment"
+    )
+    most = max((loss.total for loss in report.losses), default=1)
+    for loss in report.losses:
+        bar = BAR * max(1, round(BAR_WIDTH * loss.total / most))
+        table.add_row(f"{loss.begin:.0f}", loss.cause, *_counts(loss), bar)
+    return table
+
+
+def _causes(report: RunReport) -> Table:
+    table = Table("cause", *COUNTS, title="Not served within the goal, in all")
+    causes: dict[str, Loss] = {}
+    for loss in report.losses:
+        total = causes.setdefault(loss.cause, Loss(0.0, loss.cause))
+        total.refused += loss.refused
+        total.unknown += loss.unknown
+        total.late += loss.late
+        total.too_early += loss.too_early
+    for total in sorted(causes.values(), key=lambda each: -each.total):
+        table.add_row(total.cause, *_counts(total))
+    return table
+
+
+def _counts(loss: Loss) -> tuple[str, ...]:
+    return str(loss.refused), str(loss.unknown), str(loss.late), str(loss.too_early)
--- a/wharftiller/core/errors.py
+++ b/wharftiller/core/errors.py
@@ -102,11 +102,14 @@
     at_limit : bool
         Whether it has too many connections; otherwise it is another endpoint
         than the one expected at its address.
+    queue_s : float or None
+        How long those ahead take, in seconds, where its connections are held and in use.
     """
 
     kind = "endpoint_refused"
     status = 503
 
-    def __init__(self, message: str, *, at_limit: bool) -> None:
+    def __init__(self, message: str, *, at_limit: bool, queue_s: float | None = None) -> None:
         super().__init__(message)
         self.at_limit = at_limit
+        self.queue_s = queue_s
--- /dev/null
+++ b/wharftiller/core/sessions/come_back.py
@@ -0,0 +1,96 @@
+"""When a caller whose statement did not run should come back, by what stood in its way.
+
+The times are what is known when the statement is refused; callers that were refused
+together are spread, so that they do not meet again.
+"""
+
+from __future__ import annotations
+
+import enum
+import zlib
+
+import attrs
+
+from wharftiller.core.leadership.lease import LEASE_S
+from wharftiller.core.leadership.moves import UNREACHABLE_BEHIND_CUT_S, UNREACHABLE_S
+
+SOON_S = 0.3
+"""When most of what passes by itself has passed, in seconds.
+
+An endpoint that owes an answer counts as silent after as long, and another one is chosen.
+"""
+
+LEAST_S = 0.05
+"""Nobody is told to come back sooner, in seconds: two or three usual statements."""
+
+MOST_S = 8.0
+"""Nobody is told to come back later, in seconds: the longest wait of a change of primary."""
+
+SPREAD = 0.25
+"""Part of the time by which callers are spread either way."""
+
+
+class Cause(enum.Enum):
+    """What stood in a statement's way."""
+
+    CHANGE_OF_PRIMARY = "change_of_primary"
+    PRIMARY_SILENT = "primary_silent"
+    NO_LEASE = "no_lease"
+    ENDPOINT_FULL = "endpoint_full"
+    QUEUE = "queue"
+    NO_CONNECTION = "no_connection"
+    NO_ANSWER = "no_answer"
+    ENDPOINT_REFUSED = "endpoint_refused"
+    BOX_LOST = "box_lost"
+
+
+@attrs.frozen
+class PrimaryOutlook:
+    """What a box knows of a primary that cannot be used.
+
+    Attributes
+    ----------
+    changing_s : float or None
+        For how long a change to another has been recorded, in seconds.
+    surely : bool
+        Whether that change can surely be ordered: planned, or ordered already.
+    silent_s : float or None
+        For how long the primary has been silent to this box, in seconds.
+    """
+
+    changing_s: float | None = None
+    surely: bool = False
+    silent_s: float | None = None
+
+    @property
+    def cause(self) -> Cause:
+        """What keeps the primary from being used."""
+        if self.changing_s is not None:
+            return Cause.CHANGE_OF_PRIMARY
+        return Cause.NO_LEASE if self.silent_s is None else Cause.PRIMARY_SILENT
+
+
+def primary_back_in_s(outlook: PrimaryOutlook, change_s: float) -> float:
+    """Return in how many seconds a primary can probably be used again.
+
+    Parameters
+    ----------
+    change_s : float
+        How long the last change took from its record to the next, in seconds.
+    """
+    if outlook.changing_s is not None:
+        left_s = change_s - outlook.changing_s
+        # A change that waits for silent boxes ends with their leases.
+        return left_s if outlook.surely or left_s > 0 else LEASE_S - outlook.changing_s
+    if outlook.silent_s is None:
+        return SOON_S
+    if outlook.silent_s < UNREACHABLE_S + change_s:
+        return UNREACHABLE_S + change_s - outlook.silent_s
+    return UNREACHABLE_BEHIND_CUT_S + LEASE_S + change_s - outlook.silent_s
+
+
+def told_s(after_s: float, request_id: str) -> float:
+    """Return what one caller is told for ``after_s`` seconds, within sensible bounds."""
+    part = zlib.crc32(request_id.encode()) % 1000 / 1000
+    spread = 1.0 + SPREAD * (2.0 * part - 1.0)
+    return min(MOST_S, max(LEAST_S, after_s)) * spread
--- a/wharftiller/core/sessions/statements.py
+++ b/wharftiller/core/sessions/statements.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import enum
+from typing import TYPE_CHECKING
 
 import attrs
 
 from wharftiller.core.positions import LogPosition
 
+if TYPE_CHECKING:
+    from wharftiller.core.sessions.come_back import Cause
+
 
 class Access(enum.Enum):
     """Whether a statement changes data."""
@@ -164,10 +168,13 @@
     ----------
     detail : str
         One sentence for the caller; says when to come back where that helps.
+    cause : Cause or None
+        What stood in the way, where this or another box refused.
     """
 
     kind: RefusalKind
     detail: str = ""
+    cause: Cause | None = None
 
     @property
     def has_not_run(self) -> bool:
--- a/wharftiller/daemons/sessions/choice.py
+++ b/wharftiller/daemons/sessions/choice.py
@@ -7,9 +7,10 @@
 import trio
 
 from wharftiller.core.errors import EndpointRefusedError, ExchangeError
+from wharftiller.core.sessions.come_back import SOON_S, Cause, primary_back_in_s
 from wharftiller.core.sessions.routing import AnyReplica, need_of_read, replica_order
 from wharftiller.core.sessions.statements import RefusalKind
-from wharftiller.daemons.sessions.routed import NoPlaceError, StatementRefusedError, come_back
+from wharftiller.daemons.sessions.routed import NoPlaceError, StatementRefusedError
 
 if TYPE_CHECKING:
     from collections.abc import Set
@@ -103,8 +104,10 @@
                 if not state.primary_expected(group):
                     break
                 await state.leadership_changed()
+        outlook = state.primary_outlook(group)
+        after_s = primary_back_in_s(outlook, state.change_s)
         detail = f"no primary of {group} can be used now"
-        raise StatementRefusedError(RefusalKind.NO_CAPACITY, come_back(detail))
+        raise StatementRefusedError(RefusalKind.NO_CAPACITY, detail, outlook.cause, after_s)
 
     async def connect(self, routed: RoutedStatement, row: EndpointRow) -> PooledConnection:
         """Return a connection to ``row``.
@@ -120,8 +123,14 @@
                 routed.session, route.priority, route.latency_goal_s
             )
         except EndpointRefusedError as error:
+            if error.at_limit and error.queue_s is not None:
+                raise NoPlaceError(str(error), Cause.QUEUE, error.queue_s) from error
             if error.at_limit:
-                raise NoPlaceError(str(error)) from error
-            raise StatementRefusedError(RefusalKind.NO_CAPACITY, come_back(str(error))) from error
+                raise NoPlaceError(str(error), Cause.ENDPOINT_FULL, SOON_S) from error
+            raise StatementRefusedError(
+                RefusalKind.NO_CAPACITY, str(error), Cause.ENDPOINT_REFUSED
+            ) from error
         except ExchangeError as error:
-            raise StatementRefusedError(RefusalKind.NO_CAPACITY, come_back(str(error))) from error
+            raise StatementRefusedError(
+                RefusalKind.NO_CAPACITY, str(error), Cause.NO_CONNECTION
+            ) from error
--- a/wharftiller/daemons/sessions/forwarded.py
+++ b/wharftiller/daemons/sessions/forwarded.py
@@ -8,9 +8,10 @@
 import trio
 
 from wharftiller.core.errors import BadRequestError
+from wharftiller.core.sessions.come_back import Cause
 from wharftiller.core.sessions.session import Session
-from wharftiller.core.sessions.statements import Execute, RefusalKind, SessionState, refused
-from wharftiller.daemons.sessions.routed import come_back
+from wharftiller.core.sessions.statements import Execute, RefusalKind, SessionState
+from wharftiller.daemons.sessions.routed import StatementRefusedError
 from wharftiller.daemons.sessions.statements import StatementRunner
 from wharftiller.edges.forwarded_json import ForwardedReply, reply_to_json, statement_from_json
 
@@ -79,7 +80,8 @@
         session = self._session(asked, now)
         if session is None:
             detail = f"{self._state.box} does not know the transaction; it was rolled back"
-            reply = refused(RefusalKind.ROLLED_BACK, come_back(detail), SessionState.FAILED)
+            error = StatementRefusedError(RefusalKind.ROLLED_BACK, detail, Cause.BOX_LOST)
+            reply = error.reply(asked.statement, SessionState.FAILED)
         else:
             reply = await self._run_in(session, asked, now - asked.age_s)
         return self._told(asked, session, reply)
--- a/wharftiller/daemons/sessions/forwarding.py
+++ b/wharftiller/daemons/sessions/forwarding.py
@@ -9,12 +9,12 @@
 import trio
 
 from wharftiller.core.errors import ExchangeError
+from wharftiller.core.sessions.come_back import Cause
 from wharftiller.core.sessions.session import RemoteTransaction
-from wharftiller.core.sessions.statements import Commit, RefusalKind, Reply, SessionState, refused
+from wharftiller.core.sessions.statements import Commit, RefusalKind, Reply, SessionState
 from wharftiller.daemons.sessions.routed import (
     MARGIN_S,
     StatementRefusedError,
-    come_back,
     route_statement,
 )
 from wharftiller.edges.forwarded_json import ForwardedStatement
@@ -66,7 +66,7 @@
             routed = route_statement(session, route, statement, arrived_at)
             return await self._single(routed)
         except StatementRefusedError as error:
-            return refused(error.kind, error.detail, SessionState.IDLE)
+            return error.reply(statement, SessionState.IDLE)
 
     async def _single(self, routed: RoutedStatement) -> Reply | None:
         may_have_run = False
@@ -86,7 +86,7 @@
             # This box is a home, or the next one with those it asked gone.
             return None
         kind = RefusalKind.ROLLED_BACK if may_have_run else RefusalKind.NO_CAPACITY
-        raise StatementRefusedError(kind, come_back(why))
+        raise StatementRefusedError(kind, why, Cause.BOX_LOST)
 
     async def in_transaction(
         self,
@@ -102,10 +102,10 @@
         except StatementRefusedError as error:
             if isinstance(statement.body, Commit):
                 self.drop(session, transaction)
-                return refused(error.kind, error.detail, SessionState.IDLE)
+                return error.reply(statement, SessionState.IDLE)
             transaction.failed = True
             self.end_remote(transaction)
-            reply = refused(error.kind, error.detail, SessionState.FAILED)
+            reply = error.reply(statement, SessionState.FAILED)
         transaction.used_at = trio.current_time()
         return reply
 
@@ -118,7 +118,7 @@
         home = self._directory.boxes.get(remote.box)
         if home is None:
             detail = f"{remote.box}, which ran the transaction, is gone"
-            raise StatementRefusedError(RefusalKind.ROLLED_BACK, come_back(detail))
+            raise StatementRefusedError(RefusalKind.ROLLED_BACK, detail, Cause.BOX_LOST)
         return await self._ask_transaction(home, routed, transaction)
 
     async def _begin(self, routed: RoutedStatement, transaction: OpenTransaction) -> Reply | None:
@@ -134,7 +134,7 @@
                 why = str(error)
         if self._homes.choose(routed.route.group, tried) is None:
             return None
-        raise StatementRefusedError(RefusalKind.ROLLED_BACK, come_back(why))
+        raise StatementRefusedError(RefusalKind.ROLLED_BACK, why, Cause.BOX_LOST)
 
     async def _ask_transaction(
         self,
@@ -161,11 +161,15 @@
             if begins:
                 transaction.wrote = wrote_before
                 raise _NotBegunError(str(error)) from error
-            raise StatementRefusedError(RefusalKind.ROLLED_BACK, come_back(str(error))) from error
+            raise StatementRefusedError(
+                RefusalKind.ROLLED_BACK, str(error), Cause.BOX_LOST
+            ) from error
         except ExchangeError as error:
             if commits and transaction.wrote:
                 raise self._unknown(routed, str(error)) from error
-            raise StatementRefusedError(RefusalKind.ROLLED_BACK, come_back(str(error))) from error
+            raise StatementRefusedError(
+                RefusalKind.ROLLED_BACK, str(error), Cause.BOX_LOST
+            ) from error
         match reply.state:
             case SessionState.IDLE:
                 routed.session.transaction = None
--- a/wharftiller/daemons/sessions/notes.py
+++ b/wharftiller/daemons/sessions/notes.py
@@ -8,6 +8,7 @@
 
 from wharftiller.core.sessions.figures import AnswerLabels
 from wharftiller.core.sessions.statements import Direct, Execute
+from wharftiller.decisions import SLOW_S
 
 if TYPE_CHECKING:
     from wharftiller.core.sessions.endpoints import EndpointRow
@@ -63,7 +64,8 @@
         reading = None if route is None else type(route.consistency).__name__
         return {"access": access, "reading": reading, **_believed(state, route)}
 
-    state.log.answered(session, statement, reply, took_s, told)
+    goal_s = SLOW_S if route is None else route.latency_goal_s
+    state.log.answered(session, statement, reply, took_s, goal_s, told)
 
 
 def _access(session: Session, statement: Statement) -> str | None:
--- a/wharftiller/daemons/sessions/pool.py
+++ b/wharftiller/daemons/sessions/pool.py
@@ -177,7 +177,9 @@
         expected_s = self._expected_wait_s(priority, ticket)
         if trio.current_time() + expected_s > until:
             detail = f"the queue for {self.row.name} takes {expected_s:.2f} s"
-            raise EndpointRefusedError(detail, at_limit=True)
+            raise EndpointRefusedError(
+                detail, at_limit=True, queue_s=expected_s if self._all else None
+            )
         waiter = self._queue.join(priority, ticket)
         try:
             with trio.move_on_at(until):
@@ -187,7 +189,11 @@
             self._stop_waiting(waiter)
             raise
         self._stop_waiting(waiter)
-        raise EndpointRefusedError(f"{self.row.name} had no free place in time", at_limit=True)
+        raise EndpointRefusedError(
+            f"{self.row.name} had no free place in time",
+            at_limit=True,
+            queue_s=self.row.service_s if self._all else None,
+        )
 
     async def _wait_turn(self, waiter: Waiter) -> None:
         """Wait until woken or, where more connections may be held, until one may be asked for."""
--- a/wharftiller/daemons/sessions/routed.py
+++ b/wharftiller/daemons/sessions/routed.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from wharftiller.core.sessions.come_back import SOON_S, told_s
 from wharftiller.core.sessions.statements import (
     Access,
     Commit,
@@ -13,19 +14,20 @@
     EndpointQuery,
     Execute,
     PreparedStatement,
+    Refusal,
     RefusalKind,
+    Reply,
     Statement,
 )
 
 if TYPE_CHECKING:
     from wharftiller.core.positions import LogPosition
+    from wharftiller.core.sessions.come_back import Cause
     from wharftiller.core.sessions.routes import Route
     from wharftiller.core.sessions.session import Session
+    from wharftiller.core.sessions.statements import SessionState
     from wharftiller.daemons.sessions.pooled_connection import PooledConnection
 
-COME_BACK_MS = 300
-"""When to come back after a refusal that passes soon, in milliseconds."""
-
 MARGIN_S = 0.02
 """Time kept to answer before a statement's time-out, in seconds."""
 
@@ -43,19 +45,38 @@
 
 
 class StatementRefusedError(Exception):
-    """A statement that ends with a refusal by this box."""
+    """A statement that ends with a refusal by this box.
 
-    def __init__(self, kind: RefusalKind, detail: str) -> None:
-        super().__init__(detail)
+    Parameters
+    ----------
+    cause : Cause or None
+        What stood in its way and passes by itself; nothing of the statement is kept then.
+    after_s : float
+        In how many seconds that has probably passed.
+    """
+
+    def __init__(
+        self, kind: RefusalKind, why: str, cause: Cause | None = None, after_s: float = SOON_S
+    ) -> None:
+        super().__init__(why)
         self.kind = kind
-        self.detail = detail
+        self.why = why
+        self.cause = cause
+        self.after_s = after_s
+
+    def reply(self, statement: Statement, state: SessionState) -> Reply:
+        """Return what the caller of ``statement`` is told."""
+        detail = self.why
+        if self.cause is not None:
+            detail = come_back(self.why, self.after_s, statement)
+        return Reply(state, refusal=Refusal(self.kind, detail, self.cause))
 
 
 class NoPlaceError(StatementRefusedError):
     """An endpoint has no place for a statement within its goal; nothing was sent."""
 
-    def __init__(self, why: str) -> None:
-        super().__init__(RefusalKind.NO_CAPACITY, come_back(why))
+    def __init__(self, why: str, cause: Cause, after_s: float) -> None:
+        super().__init__(RefusalKind.NO_CAPACITY, why, cause, after_s)
 
 
 @attrs.frozen
@@ -125,6 +146,7 @@
     return RoutedStatement(session, route, statement, statement.body, needed, arrived_at, until)
 
 
-def come_back(why: str) -> str:
-    """Return the detail of a refusal after which nothing is kept and that passes soon."""
-    return f"{why}; nothing is kept, come back in {COME_BACK_MS} ms"
+def come_back(why: str, after_s: float, statement: Statement) -> str:
+    """Return the detail of a refusal after which nothing is kept and that passes."""
+    told_ms = told_s(after_s, statement.request_id) * 1000
+    return f"{why}; nothing is kept, come back in {told_ms:.0f} ms"
--- a/wharftiller/daemons/sessions/singles.py
+++ b/wharftiller/daemons/sessions/singles.py
@@ -8,7 +8,8 @@
 import trio
 
 from wharftiller.core.errors import ExchangeError
-from wharftiller.core.sessions.statements import RefusalKind, Reply, SessionState, refused
+from wharftiller.core.sessions.come_back import Cause
+from wharftiller.core.sessions.statements import RefusalKind, Reply, SessionState
 from wharftiller.daemons.sessions.confirmation import confirm_write
 from wharftiller.daemons.sessions.notes import note_passed_over
 from wharftiller.daemons.sessions.routed import (
@@ -17,7 +18,6 @@
     READ_TRIES,
     NoPlaceError,
     StatementRefusedError,
-    come_back,
     route_statement,
 )
 
@@ -59,7 +59,7 @@
                 return await self._write(routed)
             return await self._read(routed)
         except StatementRefusedError as error:
-            return refused(error.kind, error.detail, SessionState.IDLE)
+            return error.reply(statement, SessionState.IDLE)
 
     async def _write(self, routed: RoutedStatement) -> Reply:
         group = routed.route.group
@@ -75,7 +75,9 @@
                     break
                 await trio.sleep(BUSY_PAUSE_S)
             detail = f"{row.name} did not take it"
-            raise StatementRefusedError(RefusalKind.NO_CAPACITY, come_back(detail))
+            raise StatementRefusedError(
+                RefusalKind.NO_CAPACITY, detail, Cause.ENDPOINT_REFUSED, BUSY_PAUSE_S
+            )
         finally:
             self._state.write_ended(group)
 
@@ -118,7 +120,7 @@
         """Refuse the write if ``row`` stopped leading while its connection was prepared."""
         if self._state.startable(routed.route.group) is not row:
             detail = "the primary is being replaced"
-            raise StatementRefusedError(RefusalKind.NO_CAPACITY, come_back(detail))
+            raise StatementRefusedError(RefusalKind.NO_CAPACITY, detail, Cause.CHANGE_OF_PRIMARY)
 
     async def _read(self, routed: RoutedStatement) -> Reply:
         tried: set[str] = set()
@@ -156,7 +158,8 @@
         detail = (
             "no endpoint answered the read" if may_have_run else "no endpoint could run the read"
         )
-        refusal = StatementRefusedError(RefusalKind.NO_CAPACITY, come_back(detail))
+        cause = Cause.NO_ANSWER if may_have_run else Cause.ENDPOINT_REFUSED
+        refusal = StatementRefusedError(RefusalKind.NO_CAPACITY, detail, cause)
         raise _not_served(refusal, may_have_run)
 
     async def _read_once(
@@ -199,7 +202,9 @@
 
 def _not_served(error: StatementRefusedError, may_have_run: bool) -> StatementRefusedError:
     """Return the refusal of a read; one that was offered somewhere may have run."""
-    return StatementRefusedError(RefusalKind.ROLLED_BACK, error.detail) if may_have_run else error
+    if not may_have_run:
+        return error
+    return StatementRefusedError(RefusalKind.ROLLED_BACK, error.why, error.cause, error.after_s)
 
 
 def _write_lost(
@@ -209,4 +214,4 @@
     if sent:
         routed.session.unsettled.add(routed.route.group)
         return StatementRefusedError(kind, f"{why}; it may have been committed")
-    return StatementRefusedError(RefusalKind.NO_CAPACITY, come_back(why))
+    return StatementRefusedError(RefusalKind.NO_CAPACITY, why, Cause.NO_CONNECTION)
--- a/wharftiller/daemons/sessions/state.py
+++ b/wharftiller/daemons/sessions/state.py
@@ -13,6 +13,7 @@
 from wharftiller.core.leadership.lease import LEASE_S, LeaseTable
 from wharftiller.core.leadership.record import Leading, Moving
 from wharftiller.core.positions import LogPosition
+from wharftiller.core.sessions.come_back import PrimaryOutlook
 from wharftiller.core.sessions.endpoints import EndpointRow
 from wharftiller.core.sessions.figures import Figures
 from wharftiller.core.sessions.routes import EndpointEntry, SessionConfiguration
@@ -36,6 +37,15 @@
 Detection (1.2 s), every box's word and the promotion itself (0.3 to 0.6 s).
 """
 
+FIRST_CHANGE_S = 1.0
+"""Time that a change of primary is taken to need before one was seen, in seconds.
+
+The promotion (0.3 to 0.6 s), every box's word and two updates of the record.
+"""
+
+CHANGE_WEIGHT = 0.3
+"""Weight of the newest change of primary in the smoothed time that one takes."""
+
 RECORD_EXPECTED_S = 1.0
 """How long after a change was recorded, or a lease ran out, the next is expected, in seconds."""
 
@@ -69,6 +79,8 @@
     share_of_group, serves_group : callable
         How many connections to an endpoint of a group this box may keep, and whether it
         runs the group's statements by itself; `Homes` sets both.
+    change_s : float
+        How long changes of primary took lately, from the first record to the last, in seconds.
     told_usable : dict of str to bool
         For groups whose statements are passed on, whether their home said last that it
         can use the primary.
@@ -89,6 +101,8 @@
         self._changed = trio.Event()
         self._record_seen = 0
         self._record_at = -math.inf
+        self._changing_since: float | None = None
+        self.change_s = FIRST_CHANGE_S
         self.box = box
         self.data_centre = data_centre
         self.log = log
@@ -241,6 +255,29 @@
             case None:
                 return True
 
+    def primary_outlook(self, group: str) -> PrimaryOutlook:
+        """Return what is known of a primary that cannot be used now."""
+        now = trio.current_time()
+        match self.leases.record.groups.get(group):
+            case Moving(planned=planned, ordered=ordered):
+                since = self._record_at if self._changing_since is None else self._changing_since
+                return PrimaryOutlook(now - since, planned or ordered)
+            case Leading(endpoint) if endpoint in self.rows:
+                silent_at = self.rows[endpoint].unreachable_since
+                return PrimaryOutlook(silent_s=None if silent_at is None else now - silent_at)
+            case _:
+                return PrimaryOutlook()
+
+    def _time_changes(self) -> None:
+        """Learn how long changes of primary take."""
+        now = trio.current_time()
+        if self.leases.record.moving:
+            self._changing_since = now if self._changing_since is None else self._changing_since
+        elif self._changing_since is not None:
+            took_s = now - self._changing_since
+            self.change_s += CHANGE_WEIGHT * (took_s - self.change_s)
+            self._changing_since = None
+
     def is_usable(self, row: EndpointRow) -> bool:
         """Return whether a statement sent to ``row`` now is likely to be answered."""
         return not row.is_suspect(trio.current_time()) or self.way_to(row) is not None
@@ -258,6 +295,7 @@
         if self._record_seen != self.leases.record.revision:
             self._record_seen = self.leases.record.revision
             self._record_at = trio.current_time()
+            self._time_changes()
         self._changed.set()
         self._changed = trio.Event()
 
--- a/wharftiller/daemons/sessions/transactions.py
+++ b/wharftiller/daemons/sessions/transactions.py
@@ -8,6 +8,7 @@
 import trio
 
 from wharftiller.core.errors import ExchangeError
+from wharftiller.core.sessions.come_back import Cause
 from wharftiller.core.sessions.session import OpenTransaction
 from wharftiller.core.sessions.statements import (
     Begin,
@@ -16,7 +17,6 @@
     RefusalKind,
     Reply,
     SessionState,
-    refused,
 )
 from wharftiller.daemons.sessions.confirmation import confirm_write
 from wharftiller.daemons.sessions.routed import (
@@ -24,7 +24,6 @@
     BUSY_TRIES,
     READ_TRIES,
     StatementRefusedError,
-    come_back,
     route_statement,
 )
 
@@ -90,7 +89,7 @@
                 await self._bind(routed, transaction)
             reply = await self._ask(routed, transaction)
         except StatementRefusedError as error:
-            reply = refused(error.kind, error.detail, SessionState.FAILED)
+            reply = error.reply(statement, SessionState.FAILED)
             if isinstance(statement.body, Commit):
                 self.end(session)
                 return attrs.evolve(reply, state=SessionState.IDLE)
@@ -132,7 +131,7 @@
                 if reply.refusal.kind is RefusalKind.NOT_PRIMARY:
                     await trio.sleep(BUSY_PAUSE_S)
         raise StatementRefusedError(
-            RefusalKind.ROLLED_BACK, come_back("no endpoint began it in time")
+            RefusalKind.ROLLED_BACK, "no endpoint began it in time", Cause.NO_ANSWER
         )
 
     async def _ask(self, routed: RoutedStatement, transaction: OpenTransaction) -> Reply:
@@ -141,7 +140,7 @@
         commits = isinstance(routed.body, Commit)
         if commits and transaction.wrote and not self._state.may_acknowledge(connection.pool.row):
             detail = "the primary it ran on may have been replaced; nothing is kept"
-            raise StatementRefusedError(RefusalKind.ROLLED_BACK, come_back(detail))
+            raise StatementRefusedError(RefusalKind.ROLLED_BACK, detail, Cause.NO_LEASE)
         sent = False
         try:
             with trio.move_on_at(routed.until):
@@ -156,7 +155,9 @@
             raise _lost(routed.session, transaction, commits and sent, str(error)) from error
         if commits and sent:
             raise _lost(routed.session, transaction, True, "no answer in time")
-        raise StatementRefusedError(RefusalKind.ROLLED_BACK, "the endpoint did not answer in time")
+        raise StatementRefusedError(
+            RefusalKind.ROLLED_BACK, "the endpoint did not answer in time", Cause.NO_ANSWER
+        )
 
     @staticmethod
     async def _offer(connection: PooledConnection, query: EndpointQuery, until: float) -> Reply:
@@ -189,7 +190,10 @@
             self.end(session)
             if reply.refusal is not None and reply.refusal.has_not_run:
                 detail = f"{row.name} did not run the commit; it was rolled back"
-                return refused(RefusalKind.ROLLED_BACK, come_back(detail), SessionState.IDLE)
+                error = StatementRefusedError(
+                    RefusalKind.ROLLED_BACK, detail, Cause.ENDPOINT_REFUSED
+                )
+                return error.reply(routed.statement, SessionState.IDLE)
             return attrs.evolve(reply, state=SessionState.IDLE)
         session.transaction = None
         self._counts_no_more(transaction)
@@ -205,4 +209,4 @@
         session.unsettled.add(transaction.route.group)
         detail = f"{why}; it may have been committed"
         return StatementRefusedError(RefusalKind.OUTCOME_UNKNOWN, detail)
-    return StatementRefusedError(RefusalKind.ROLLED_BACK, come_back(why))
+    return StatementRefusedError(RefusalKind.ROLLED_BACK, why, Cause.NO_CONNECTION)
--- a/wharftiller/decisions.py
+++ b/wharftiller/decisions.py
@@ -97,17 +97,21 @@
         statement: Statement,
         reply: Reply,
         took_s: float,
+        goal_s: float,
         believed: Callable[[], dict[str, Any]],
     ) -> None:
         """Log how a statement ended, if it is out of the ordinary or sampled.
 
         Parameters
         ----------
+        goal_s : float
+            The route's latency goal; an answer that took longer is always logged.
         believed : callable
             Returns what the box believed that decided the outcome, with its age or version.
         """
         refusal = reply.refusal
-        if refusal is None and took_s < SLOW_S and not is_sampled(statement.request_id):
+        is_late = took_s >= min(SLOW_S, goal_s)
+        if refusal is None and not is_late and not is_sampled(statement.request_id):
             return
         fields: dict[str, Any] = {
             "request": statement.request_id,
@@ -115,6 +119,7 @@
             "database": session.database,
             "body": type(statement.body).__name__,
             "took_ms": round(took_s * 1000),
+            "late": is_late,
             "state": reply.state.value,
             "endpoint": reply.endpoint,
             **believed(),
@@ -124,6 +129,7 @@
         if refusal is None:
             self.event("answered", **fields)
             return
+        fields["cause"] = None if refusal.cause is None else refusal.cause.value
         kind = "unsettled" if refusal.kind is RefusalKind.OUTCOME_UNKNOWN else "refused"
         self.event(kind, **fields, reason=refusal.kind.value, detail=refusal.detail)
 
--- a/wharftiller/edges/forwarded_json.py
+++ b/wharftiller/edges/forwarded_json.py
@@ -11,6 +11,7 @@
 
 from wharftiller.core.errors import BadRequestError
 from wharftiller.core.positions import LogPosition
+from wharftiller.core.sessions.come_back import Cause
 from wharftiller.core.sessions.routes import (
     BoundedReads,
     Consistency,
@@ -237,7 +238,7 @@
         "state": reply.state.value,
         "rows": [row.decode("latin-1") for row in reply.rows],
         "proof": None if reply.proof is None else _to_text(reply.proof),
-        "refusal": None if refusal is None else [refusal.kind.value, _to_text(refusal.detail)],
+        "refusal": None if refusal is None else _refusal_to_json(refusal),
         "position": _position_to_json(reply.position),
         "endpoint": reply.endpoint,
         "own_write": _position_to_json(told.own_write),
@@ -260,7 +261,7 @@
             SessionState(value["state"]),
             tuple(row.encode("latin-1") for row in value["rows"]),
             None if value["proof"] is None else _from_text(value["proof"]),
-            None if refusal is None else Refusal(RefusalKind(refusal[0]), _from_text(refusal[1])),
+            None if refusal is None else _refusal_from_json(refusal),
             _position_from_json(value["position"]),
             None if value["endpoint"] is None else str(value["endpoint"]),
         )
@@ -269,3 +270,13 @@
         return ForwardedReply(reply, own_write, value["unsettled"] is True, usable)
     except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
         raise BadRequestError(f"no reply to a statement: {error!r}; run one version") from None
+
+
+def _refusal_to_json(refusal: Refusal) -> list[str | None]:
+    cause = None if refusal.cause is None else refusal.cause.value
+    return [refusal.kind.value, _to_text(refusal.detail), cause]
+
+
+def _refusal_from_json(value: Any) -> Refusal:
+    kind, detail, cause = value
+    return Refusal(RefusalKind(kind), _from_text(detail), None if cause is None else Cause(cause))
--- a/wharftiller/run_report.py
+++ b/wharftiller/run_report.py
@@ -8,15 +8,13 @@
 import attrs
 
 from wharftiller.decisions import is_sampled
+from wharftiller.run_losses import SLICE_S, Loss, losses_of
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
     from wharftiller.decision_story import LoggedEvent
 
-SLICE_S = 2.0
-"""Time that one row of the table of refusals stands for, in seconds."""
-
 
 @attrs.frozen
 class ReadShare:
@@ -61,18 +59,22 @@
     ----------
     refusals : dict
         Refused statements by slice of time (start in seconds after the first line) and reason.
+    losses : list of Loss
+        What was not served within its goal, by cause and slice of time.
     """
 
     reads: list[ReadShare]
     changes: list[ChangeOfPrimary]
     refusals: dict[tuple[float, str], int]
+    losses: list[Loss] = attrs.field(factory=list)
 
 
 def report_of(events: Iterable[LoggedEvent]) -> RunReport:
     """Return the report of a run; lines that were left out by rate are not in it."""
     in_time = sorted(events, key=lambda each: each.at)
     first = in_time[0].at if in_time else 0.0
-    return RunReport(_reads(in_time), _changes(in_time), _refusals(in_time, first))
+    refusals = _refusals(in_time, first)
+    return RunReport(_reads(in_time), _changes(in_time), refusals, losses_of(in_time, first))
 
 
 def _reads(events: list[LoggedEvent]) -> list[ReadShare]:
--- a/wharftiller/tests/test_run_report.py
+++ b/wharftiller/tests/test_run_report.py
@@ -10,8 +10,10 @@
 from typer.testing import CliRunner
 
 from wharftiller.cli.wharfctl import app
+from wharftiller.core.sessions.come_back import Cause
 from wharftiller.decision_story import read_events
 from wharftiller.decisions import is_sampled
+from wharftiller.run_losses import Loss
 from wharftiller.run_report import RunReport, report_of
 from wharftiller.tests.platform.world import World, run_in_world
 
@@ -82,6 +84,37 @@
     def test_refusals_are_counted_by_time_and_reason(self, told: RunReport) -> None:
         assert told.refusals == {(4.0, "no_capacity"): 2}
 
+    def test_losses_are_told_by_cause_and_moment(self) -> None:
+        events = [
+            line(0.0, "started"),
+            line(4.1, "refused", reason="no_capacity", cause="primary_silent", lead_silent_ms=900),
+            line(4.2, "refused", reason="no_capacity", cause="primary_silent", lead_silent_ms=1900),
+            line(4.3, "unsettled", reason="outcome_unknown", cause=None),
+            line(4.4, "answered", late=True, moving=True),
+            line(4.5, "answered", late=False),
+            line(6.5, "lines_left_out", counts={"refused": 7, "box_did_not_answer": 9}),
+        ]
+        assert report_of(read_events(events)).losses == [
+            Loss(4.0, "change_of_primary", late=1),
+            Loss(4.0, "outcome_unknown", unknown=1),
+            Loss(4.0, "primary_silent", refused=2, too_early=1),
+            Loss(6.0, "not logged", refused=7),
+        ]
+
+    def test_every_refusal_of_a_run_names_its_cause(self) -> None:
+        async def story(world: World) -> None:
+            desk = await world.call(world.boxes["box-1"], "primary")
+            world.kill_server(world.groups[0].primary)
+            for number in range(20):
+                await desk.ask(f"WRITE seat{number} x")
+                await trio.sleep(0.1)
+            lines = [json.dumps(each) for other in world.boxes.values() for each in other.log()]
+            causes = {loss.cause for loss in report_of(read_events(lines)).losses if loss.refused}
+            assert causes <= {cause.value for cause in Cause} | {"timed_out"}
+            assert "primary_silent" in causes or "no_connection" in causes
+
+        run_in_world(story)
+
     def test_nothing_logged_is_an_empty_report(self) -> None:
         assert report_of([]) == RunReport([], [], {})
 
