Make the tests of real processes independent of how loaded the machine is

Cause: test_killed_primary_loses_nothing did not look at its first booking's outcome. It also took one refusal of the second booking as a failure. Change: bookings are offered until they are known to be done, a refused one under a new id, an unknown one under its own; the lists asserted are the same. A new test freezes the primary and checks that what was refused is not kept. Not covered: test_stopped_proxy sends its 20 bookings within 10 ms of the stop and relies on their having been taken by then.

--- a/wharftiller/tests/daemons/test_real_processes.py
+++ b/wharftiller/tests/daemons/test_real_processes.py
@@ -20,6 +20,12 @@
 
 from story import Story  # type: ignore[import-not-found]  # noqa: E402
 
+DONE_WITHIN_S = 90.0
+"""Time within which a booking is done on a machine of any load, in seconds."""
+
+LOOK_AGAIN_S = 0.1
+"""Time between tries, in seconds."""
+
 BIN = Path(sys.executable).parent
 
 
@@ -81,45 +87,92 @@
     return answer
 
 
+async def book_until_done(story: Story, box: str, name: str, **fields: Any) -> dict[str, Any]:
+    """Book until it is known to be done, as a careful caller does.
+
+    A loaded machine can delay any process for long enough that a booking is refused, or its
+    outcome not known: neither is a loss. A refused one is booked under a new id, an
+    unknown one is asked for under its own, so that a booking that ran never runs again.
+    """
+    attempt = 0
+    with trio.fail_after(DONE_WITHIN_S):
+        while True:
+            statement = {"append": "tour", "value": name}
+            answer: dict[str, Any] = await story.ask(
+                box,
+                "rila-tours",
+                request_id=f"{name}-{attempt}",
+                kind="write",
+                statement=statement,
+                **fields,
+            )
+            if answer["outcome"] == "done":
+                return answer
+            attempt += answer["outcome"] == "not_run"
+            await trio.sleep(LOOK_AGAIN_S)
+
+
 async def tourists(story: Story, box: str, session: str) -> Any:
-    answer = await story.ask(
-        box,
-        "rila-tours",
-        request_id=f"list-{trio.current_time()}",
-        kind="read",
-        statement={"get": "tour"},
-        session=session,
-        deadline_ms=15_000,
-    )
-    return answer["result"]
+    with trio.fail_after(DONE_WITHIN_S):
+        while True:
+            answer = await story.ask(
+                box,
+                "rila-tours",
+                request_id=f"list-{trio.current_time()}",
+                kind="read",
+                statement={"get": "tour"},
+                session=session,
+                deadline_ms=15_000,
+            )
+            if answer["outcome"] == "done":
+                return answer["result"]
+            await trio.sleep(LOOK_AGAIN_S)
 
 
 class TestRealProcesses:
     def test_killed_primary_loses_nothing(self, processes: Processes) -> None:
         async def scenario(story: Story) -> None:
-            await book(story, "box-1", "Ivan")
+            await book_until_done(story, "box-1", "Ivan")
             processes.signal(await story.primary_of("sofia-1"), signal.SIGKILL)
-            booked = await book(story, "box-2", "Ana", repeatable=True, deadline_ms=15_000)
-            assert booked["outcome"] == "done"
+            booked = await book_until_done(story, "box-2", "Ana", repeatable=True)
             assert await tourists(story, "box-1", booked["session"]) == ["Ivan", "Ana"]
 
         run(processes, scenario)
 
+    def test_a_booking_refused_during_a_freeze_is_not_kept(self, processes: Processes) -> None:
+        """What was refused as not run is missing, what was booked again is there once."""
+
+        async def scenario(story: Story) -> None:
+            frozen = await story.primary_of("sofia-1")
+            processes.signal(frozen, signal.SIGSTOP)
+            first = await book(story, "box-1", "Ivan", deadline_ms=300)
+            processes.signal(frozen, signal.SIGCONT)
+            again = await book_until_done(story, "box-1", "Ana", repeatable=True)
+            listed = await tourists(story, "box-2", again["session"])
+            assert listed.count("Ana") == 1
+            match first["outcome"]:
+                case "not_run":
+                    assert listed == ["Ana"]
+                case "done":
+                    assert listed == ["Ivan", "Ana"]
+                case _:
+                    assert listed.count("Ivan") <= 1
+
+        run(processes, scenario)
+
     def test_frozen_primary_and_steward_harm_nothing_when_they_wake(
         self, processes: Processes
     ) -> None:
         async def scenario(story: Story) -> None:
-            await book(story, "box-1", "Ivan")
+            await book_until_done(story, "box-1", "Ivan")
             old = await story.primary_of("sofia-1")
             processes.signal("box-1-steward", signal.SIGSTOP)
             processes.signal(old, signal.SIGSTOP)
-            booked = await book(story, "box-1", "Ana", repeatable=True, deadline_ms=15_000)
-            assert booked["outcome"] == "done"
+            booked = await book_until_done(story, "box-1", "Ana", repeatable=True)
             processes.signal(old, signal.SIGCONT)
             processes.signal("box-1-steward", signal.SIGCONT)
             await trio.sleep(1)
-            later = await book(story, "box-2", "Vera", session=booked["session"])
-            assert later["outcome"] == "done"
+            later = await book_until_done(story, "box-2", "Vera", session=booked["session"])
             assert await tourists(story, "box-1", later["session"]) == ["Ivan", "Ana", "Vera"]
 
         run(processes, scenario)
