Set a connection up for a session in one write

Ruled out: sending the caller's statement along too: where a value were refused it would run under another session's. Choosing connections by values more cleverly: a box holds one to three. Change: all that must be set goes in one write, with the BEGIN of a transaction, which runs nothing of the caller's; the caller's statement follows once it was taken. Only callers' statements count for how long work takes.

--- a/wharftiller/core/sessions/endpoints.py
+++ b/wharftiller/core/sessions/endpoints.py
@@ -100,11 +100,19 @@
         """Note that an answer is owed on ``connection``."""
         self.owed[connection] = now
 
-    def answered(self, connection: int, now: float, position: LogPosition | None) -> None:
-        """Note an answer and the log position that came with it."""
+    def answered(
+        self, connection: int, now: float, position: LogPosition | None, *, works: bool = True
+    ) -> None:
+        """Note an answer and the log position that came with it.
+
+        Parameters
+        ----------
+        works : bool
+            Whether it answers a caller's statement, so that its time counts.
+        """
         sent_at = self.owed.pop(connection, None)
         self.heard(now, position)
-        if sent_at is not None:
+        if sent_at is not None and works:
             self.service_s += SERVICE_WEIGHT * (now - sent_at - self.service_s)
 
     def heard(self, now: float, position: LogPosition | None = None) -> None:
--- a/wharftiller/daemons/sessions/pooled_connection.py
+++ b/wharftiller/daemons/sessions/pooled_connection.py
@@ -24,6 +24,9 @@
     from wharftiller.daemons.sessions.pool import EndpointPool
     from wharftiller.daemons.sessions.seams import EndpointConnection
 
+OwnStatement = ResetSession | SetValue | Prepare
+"""What a box runs for itself before a caller's statement."""
+
 PREPARED_KEPT = 200
 """Prepared names kept on one connection before it is reset."""
 
@@ -64,56 +67,98 @@
         ExchangeError
             If the connection breaks first.
         """
-        row = self.pool.row
-        row.sent(self.number, trio.current_time())
-        done = False
-        self.asking = True
-        try:
-            reply = await self.link.ask(query)
-            done = True
-        finally:
-            self.asking = False
-            self.pool.wake_next()
-            if not done:
-                self.broken = True
-                row.given_up(self.number, trio.current_time())
-        row.answered(self.number, trio.current_time(), reply.position)
+        (reply,) = await self._exchange([query])
         if reply.refusal is not None and reply.refusal.kind is RefusalKind.NO_CAPACITY:
             self.pool.note_busy()
         else:
             self.pool.note_answered()
-        return attrs.evolve(reply, endpoint=row.name)
+        return attrs.evolve(reply, endpoint=self.pool.row.name)
 
     async def take_on(
         self, session: Session, needed: PreparedStatement | None, *, may_reset: bool = True
     ) -> None:
         """Give the connection the session's values and the prepared name that is needed.
 
+        The caller's own statement follows only once all of that was taken: else it could
+        run under another session's values.
+
         Parameters
         ----------
         may_reset : bool
             False inside a transaction, whose session can only have gained values.
+
+        Raises
+        ------
+        ExchangeError
+            If the connection breaks or the endpoint refuses one of them.
         """
-        extra = self.values.keys() - session.values.keys()
-        if may_reset and (extra or len(self.prepared) > PREPARED_KEPT):
-            await self._run_own(ResetSession())
-            self.values.clear()
-            self.prepared.clear()
-        for name, value in session.values.items():
-            if self.values.get(name) != value:
-                await self._run_own(SetValue(name, value))
-                self.values[name] = value
-        if needed is not None and needed not in self.prepared:
-            name = f"p{len(self.prepared) + 1}"
-            await self._run_own(Prepare(name, needed))
-            self.prepared[needed] = name
-
-    async def _run_own(self, body: ResetSession | SetValue | Prepare) -> None:
-        """Run a statement of this box's own."""
-        reply = await self.ask(EndpointQuery(body))
-        if reply.refusal is not None:
-            self.broken = True
-            raise ExchangeError(f"{self.pool.row.name} refused {body}: {reply.refusal}")
+        own = self._own_statements(session, needed, may_reset)
+        if own:
+            self._took(own, await self._exchange([EndpointQuery(body) for body in own]))
+
+    async def begin(self, session: Session, query: EndpointQuery) -> Reply:
+        """Give the connection the session's values and open a transaction, in one write.
+
+        Opening one runs nothing of the caller's, so nothing is lost where a value is refused.
+
+        Raises
+        ------
+        ExchangeError
+            If the connection breaks or the endpoint refuses a value.
+        """
+        own = self._own_statements(session, None, may_reset=True)
+        *taken, reply = await self._exchange([*(EndpointQuery(body) for body in own), query])
+        self._took(own, taken)
+        return attrs.evolve(reply, endpoint=self.pool.row.name)
+
+    def _own_statements(
+        self, session: Session, needed: PreparedStatement | None, may_reset: bool
+    ) -> list[OwnStatement]:
+        """Return what this box must run so that a statement of ``session`` may follow."""
+        own: list[OwnStatement] = []
+        values, prepared = self.values, self.prepared
+        if may_reset and (values.keys() - session.values.keys() or len(prepared) > PREPARED_KEPT):
+            own.append(ResetSession())
+            values, prepared = {}, {}
+        own += [SetValue(n, value) for n, value in session.values.items() if values.get(n) != value]
+        if needed is not None and needed not in prepared:
+            own.append(Prepare(f"p{len(prepared) + 1}", needed))
+        return own
+
+    def _took(self, own: list[OwnStatement], replies: list[Reply]) -> None:
+        """Note what the endpoint took."""
+        for body, reply in zip(own, replies, strict=True):
+            if reply.refusal is not None:
+                self.broken = True
+                raise ExchangeError(f"{self.pool.row.name} refused {body}: {reply.refusal}")
+            match body:
+                case ResetSession():
+                    self.values.clear()
+                    self.prepared.clear()
+                case SetValue(name, value):
+                    self.values[name] = value
+                case Prepare(name, prepared):
+                    self.prepared[prepared] = name
+
+    async def _exchange(self, queries: list[EndpointQuery]) -> list[Reply]:
+        """Send ``queries`` in one write and return all replies."""
+        row = self.pool.row
+        row.sent(self.number, trio.current_time())
+        done = False
+        self.asking = True
+        try:
+            replies = await self.link.ask(queries)
+            done = True
+        finally:
+            self.asking = False
+            self.pool.wake_next()
+            if not done:
+                self.broken = True
+                row.given_up(self.number, trio.current_time())
+        # What this box runs for itself takes no slot: it says nothing of how long work takes.
+        works = queries[-1].statement is not None
+        row.answered(self.number, trio.current_time(), replies[-1].position, works=works)
+        return replies
 
     def close(self) -> None:
         """Close it and give its place to another."""
--- a/wharftiller/daemons/sessions/seams.py
+++ b/wharftiller/daemons/sessions/seams.py
@@ -7,6 +7,8 @@
 import attrs
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     import trio
 
     from wharftiller.core.leadership.record import LeadershipRecord
@@ -16,20 +18,20 @@
 
 
 class EndpointConnection(Protocol):
-    """A connection to an endpoint; one statement at a time."""
+    """A connection to an endpoint; one exchange at a time."""
 
     @property
     def usable(self) -> bool:
         """Whether nothing unexpected has come on it; the endpoint may have closed it."""
         ...
 
-    async def ask(self, query: EndpointQuery) -> Reply:
-        """Run one statement.
+    async def ask(self, queries: Sequence[EndpointQuery]) -> list[Reply]:
+        """Send statements in one write; return their replies in order.
 
         Raises
         ------
         ExchangeError
-            If the connection broke or the answer was not understood.
+            If the connection broke or an answer was not understood.
         """
         ...
 
--- a/wharftiller/daemons/sessions/transactions.py
+++ b/wharftiller/daemons/sessions/transactions.py
@@ -110,9 +110,9 @@
             with trio.move_on_at(routed.until):
                 connection = await self._chooser.connect(routed, row)
                 try:
-                    await connection.take_on(routed.session, None)
                     asked_at = trio.current_time()
-                    reply = await connection.ask(EndpointQuery(begin, after=after))
+                    query = EndpointQuery(begin, after=after)
+                    reply = await connection.begin(routed.session, query)
                 except ExchangeError:
                     connection.close()
                     continue
--- a/wharftiller/platform/endpoints.py
+++ b/wharftiller/platform/endpoints.py
@@ -20,6 +20,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
+
     from wharftiller.core.sessions.routes import EndpointEntry
     from wharftiller.core.sessions.statements import EndpointStatus, Reply
     from wharftiller.edges.transport import Transport
@@ -41,17 +43,18 @@
             return not self._stream.socket.is_readable()
         return True
 
-    async def ask(self, query: EndpointQuery) -> Reply:
-        """Run one statement."""
+    async def ask(self, queries: Sequence[EndpointQuery]) -> list[Reply]:
+        """Send statements in one write; return their replies in order."""
         try:
-            await self._stream.send_all(encode_query(query))
+            await self._stream.send_all(b"".join(encode_query(query) for query in queries))
         except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
             raise ExchangeError(f"the connection to the endpoint broke: {error}") from None
-        return await read_reply(self._reader)
+        return [await read_reply(self._reader) for _ in queries]
 
     async def status(self) -> EndpointStatus | None:
         """Return the endpoint's state, or None if it is too busy to tell."""
-        return parse_status(await self.ask(EndpointQuery(AskStatus())))
+        (reply,) = await self.ask([EndpointQuery(AskStatus())])
+        return parse_status(reply)
 
     def close(self) -> None:
         """Close at once; what a cut holds up on the way is lost with it."""
--- a/wharftiller/tests/daemons/sessions/test_pool.py
+++ b/wharftiller/tests/daemons/sessions/test_pool.py
@@ -2,17 +2,31 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 
 import pytest
 import trio
 import trio.testing
 
-from wharftiller.core.errors import EndpointRefusedError
+from wharftiller.core.errors import EndpointRefusedError, ExchangeError
 from wharftiller.core.sessions.endpoints import EndpointRow
 from wharftiller.core.sessions.routes import EndpointEntry
 from wharftiller.core.sessions.session import Session
-from wharftiller.core.sessions.statements import EndpointQuery, EndpointStatus, Reply, SessionState
+from wharftiller.core.sessions.statements import (
+    Access,
+    Begin,
+    EndpointBody,
+    EndpointQuery,
+    EndpointStatus,
+    Prepare,
+    PreparedStatement,
+    Refusal,
+    RefusalKind,
+    Reply,
+    ResetSession,
+    SessionState,
+    SetValue,
+)
 from wharftiller.daemons.sessions.pool import EXTRA_IDLE_S, REFUSED_PAUSE_S, EndpointPool
 from wharftiller.daemons.sessions.pooled_connection import PooledConnection
 
@@ -26,9 +40,13 @@
     def __init__(self, dialer: FakeDialer) -> None:
         self._dialer = dialer
         self.usable = True
+        self.refuses = False
+        self.writes: list[list[EndpointBody]] = []
 
-    async def ask(self, query: EndpointQuery) -> Reply:
-        return Reply(SessionState.IDLE)
+    async def ask(self, queries: Sequence[EndpointQuery]) -> list[Reply]:
+        self.writes.append([query.body for query in queries])
+        refusal = Refusal(RefusalKind.OTHER) if self.refuses else None
+        return [Reply(SessionState.IDLE, refusal=refusal) for _ in queries]
 
     async def status(self) -> EndpointStatus | None:
         return None
@@ -171,3 +189,66 @@
             assert dialer.free == 15
 
         run(story)
+
+
+class TestTakenOn:
+    """What is set on a connection before a caller's statement."""
+
+    SHAPE = PreparedStatement(Access.READ, "q1")
+
+    async def connection(self) -> tuple[PooledConnection, FakeConnection]:
+        pool = make_pool(FakeDialer(free=1))
+        connection = await pool.acquire(session(), 1, GOAL_S)
+        link = connection.link
+        assert isinstance(link, FakeConnection)
+        return connection, link
+
+    def test_all_of_it_goes_in_one_write(self) -> None:
+        async def story() -> None:
+            connection, link = await self.connection()
+            connection.values["zone"] = "north"
+            caller = session()
+            caller.values.update(lang="hu", unit="mm")
+            await connection.take_on(caller, self.SHAPE)
+            reset, *values, prepare = link.writes[0]
+            assert reset == ResetSession()
+            assert values == [SetValue("lang", "hu"), SetValue("unit", "mm")]
+            assert prepare == Prepare("p1", self.SHAPE)
+            await connection.take_on(caller, self.SHAPE)
+            assert len(link.writes) == 1
+
+        run(story)
+
+    def test_a_transaction_opens_in_the_same_write(self) -> None:
+        async def story() -> None:
+            connection, link = await self.connection()
+            caller = session()
+            caller.values["lang"] = "hu"
+            await connection.begin(caller, EndpointQuery(Begin(read_only=True)))
+            assert link.writes == [[SetValue("lang", "hu"), Begin(read_only=True)]]
+
+        run(story)
+
+    def test_a_connection_that_refused_a_value_is_not_used_again(self) -> None:
+        async def story() -> None:
+            connection, link = await self.connection()
+            link.refuses = True
+            caller = session()
+            caller.values["lang"] = "hu"
+            with pytest.raises(ExchangeError):
+                await connection.take_on(caller, None)
+            assert connection.broken
+            assert connection.values == {}
+
+        run(story)
+
+    def test_what_is_set_says_nothing_of_how_long_work_takes(self) -> None:
+        async def story() -> None:
+            connection, _ = await self.connection()
+            before = connection.pool.row.service_s
+            caller = session()
+            caller.values["lang"] = "hu"
+            await connection.take_on(caller, self.SHAPE)
+            assert connection.pool.row.service_s == before
+
+        run(story)
