Split reading the platform and renewing leases from the session proxy

The session proxy composed everything and also decided when to read. When to read is a pure decision of the core now; taking a listing in, own reads and rounds are modules of one job each. One difference: boxes count others' silence from their own reads only, so where readers read for others the next reader starts to count when it becomes one (5 s later in marking a dead box).

--- /dev/null
+++ b/wharftiller/core/leadership/reading.py
@@ -0,0 +1,105 @@
+"""When a box reads from the platform what boxes share: seldom, unless nobody does it for it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+if TYPE_CHECKING:
+    from wharftiller.core.sessions.bounds import PlatformBounds
+
+SHARED_READ_S = 5.0
+"""Time between reads while rounds renew the leases, in seconds.
+
+Must stay well below the age that a round allows the list of boxes (12 s).
+"""
+
+READER_READS_S = 0.8
+"""Longest time between reads by the box that reads for all, in seconds.
+
+Leases of 6 s are renewed by what it reads where there are many boxes.
+"""
+
+READER_READS_PART = 0.27
+"""Longest time between its reads, as a part of that within which a configuration is in force.
+
+Also where the platform's watches do not tell a change: this part, `READ_KNOWN_PART` for a
+reader that is cut off, and a read must fit in.
+"""
+
+READ_KNOWN_PART = 0.63
+"""Age of the newest read of any box from which a box reads for itself, as such a part.
+
+Of 3 s: a reader's pause (0.8 s), the time between rounds (1 s), and a margin.
+"""
+
+MISSING_LEASE_READ_S = 0.25
+"""Time between reads while a primary is recorded that this box may not use yet, in seconds.
+
+After a change of primary, every box's first lease on the new one waits for this.
+"""
+
+
+@attrs.frozen
+class ReadPace:
+    """How often the platform is read, so that a configuration is in force in time.
+
+    Attributes
+    ----------
+    reader_s : float
+        Time between reads by the box that reads for others, in seconds.
+    known_s : float
+        Age of the newest read known from which a box reads for itself, in seconds.
+    """
+
+    reader_s: float
+    known_s: float
+
+    @classmethod
+    def within(cls, bounds: PlatformBounds) -> ReadPace:
+        """Return the pace that keeps the platform's bounds."""
+        in_force_s = bounds.configuration_in_force_s
+        reader_s = min(READER_READS_S, READER_READS_PART * in_force_s)
+        return cls(reader_s, READ_KNOWN_PART * in_force_s)
+
+
+@attrs.frozen
+class ReadingView:
+    """What a box knows when it decides whether to read.
+
+    Attributes
+    ----------
+    since_s : float
+        Time since it last tried, in seconds.
+    misses_lease : bool
+        Whether a primary is recorded that it may not use.
+    by_data_centre : bool
+        Whether one box in each data centre reads for those beside it, instead of one for all.
+    reads_for_others : bool
+        Whether this box is the one that does.
+    renewed : bool
+        Whether others' answers renewed its leases lately.
+    known_age_s : float
+        Age of the newest read of any box that it knows of, in seconds.
+    """
+
+    since_s: float
+    misses_lease: bool
+    by_data_centre: bool
+    reads_for_others: bool
+    renewed: bool
+    known_age_s: float
+
+
+def read_is_due(view: ReadingView, pace: ReadPace) -> bool:
+    """Return whether to read now."""
+    if view.misses_lease and view.since_s >= MISSING_LEASE_READ_S:
+        return True
+    if view.since_s < pace.reader_s:
+        return False
+    if view.reads_for_others or not view.renewed:
+        return True
+    if view.by_data_centre:
+        return False
+    return view.since_s >= SHARED_READ_S or view.known_age_s > pace.known_s
--- /dev/null
+++ b/wharftiller/daemons/sessions/lease_rounds.py
@@ -0,0 +1,68 @@
+"""Renew this box's leases by what other boxes answer, and look for news that they have."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from wharftiller.daemons.sessions.boxes import ROUND_S
+
+if TYPE_CHECKING:
+    from wharftiller.daemons.sessions.boxes import BoxDirectory
+    from wharftiller.daemons.sessions.neighbours import Neighbours
+    from wharftiller.daemons.sessions.readers import ReaderClient
+    from wharftiller.daemons.sessions.state import SharedState
+
+ROUNDS_AFTER_S = 2.5
+"""Age of the newest read from which boxes of a large deployment make rounds, in seconds.
+
+Less than half of the lease (6 s): several rounds fit in before it runs out.
+"""
+
+
+class LeaseRounds:
+    """Asks the other boxes, or a reader among them, once in a while."""
+
+    def __init__(
+        self,
+        state: SharedState,
+        directory: BoxDirectory,
+        readers: ReaderClient,
+        neighbours: Neighbours,
+        nursery: trio.Nursery,
+    ) -> None:
+        self._state = state
+        self._directory = directory
+        self._readers = readers
+        self._neighbours = neighbours
+        self._nursery = nursery
+        self._renewed = False
+
+    @property
+    def renewed(self) -> bool:
+        """Whether the last answers renewed the leases."""
+        return self._renewed
+
+    async def run(self) -> None:
+        """Ask for ever."""
+        while True:
+            self._state.check_soon = trio.Event()
+            if self._readers.applies:
+                self._renewed = await self._renew_by_reader()
+            elif self._directory.boxes:
+                self._renewed = await self._directory.round()
+                self._neighbours.learn_newer()
+            with trio.move_on_after(ROUND_S):
+                await self._state.check_soon.wait()
+
+    async def _renew_by_reader(self) -> bool:
+        """Renew the leases through a reader; by a round once that has failed for a while."""
+        renewed = self._readers.is_reader or await self._readers.ask()
+        if self._readers.newer_at is not None:
+            self._nursery.start_soon(self._neighbours.learn_from, self._readers.newer_at)
+            self._readers.newer_at = None
+        if trio.current_time() - self._directory.platform_read_at > ROUNDS_AFTER_S:
+            await self._directory.round()
+            self._neighbours.learn_newer()
+        return renewed
--- /dev/null
+++ b/wharftiller/daemons/sessions/listings.py
@@ -0,0 +1,54 @@
+"""Take in what boxes share through the platform, whoever read it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from wharftiller.daemons.sessions.boxes import Box, BoxDirectory
+    from wharftiller.daemons.sessions.seams import SharedListing
+    from wharftiller.daemons.sessions.state import SharedState
+
+
+class Listings:
+    """Brings listings into this box's view of the other boxes and of the leases."""
+
+    def __init__(self, state: SharedState, directory: BoxDirectory, box: Box) -> None:
+        self._state = state
+        self._directory = directory
+        self._box = box
+
+    def others(self, listing: SharedListing) -> dict[str, Box]:
+        """Return the other boxes of ``listing``."""
+        return {name: box for name, box in listing.boxes.items() if name != self._box.name}
+
+    def holds_this_process(self, listing: SharedListing) -> bool:
+        """Return whether this very process stands in ``listing``, and not marked as dead."""
+        return listing.boxes.get(self._box.name) == self._box
+
+    def take(self, listing: SharedListing, asked_at: float) -> bool:
+        """Take in what was read from the platform, asked for at ``asked_at`` (seconds).
+
+        Returns
+        -------
+        bool
+            Whether this process stands in the list; only then does the read count.
+        """
+        others = self.others(listing)
+        self._directory.take_list(others)
+        self._directory.take_marks(listing.marks)
+        if not self.holds_this_process(listing):
+            self._directory.listed_since = None
+            return False
+        leases = self._state.leases
+        leases.listed(others, asked_at)
+        if self._directory.listed_since is None:
+            self._directory.listed_since = asked_at
+        before = leases.record.revision
+        leases.read(listing.record, asked_at)
+        if leases.record.revision != before:
+            self._state.log.change(
+                "record_adopted", revision=leases.record.revision, source="platform"
+            )
+        self._state.wake()
+        return True
--- /dev/null
+++ b/wharftiller/daemons/sessions/shared_reads.py
@@ -0,0 +1,141 @@
+"""Read what boxes share from the platform, register this box there, and follow its feeds."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from wharftiller.core.errors import PlatformUnavailableError
+from wharftiller.core.leadership.reading import ReadingView, ReadPace, read_is_due
+
+if TYPE_CHECKING:
+    from wharftiller.daemons.sessions.boxes import Box, BoxDirectory
+    from wharftiller.daemons.sessions.lease_rounds import LeaseRounds
+    from wharftiller.daemons.sessions.listings import Listings
+    from wharftiller.daemons.sessions.readers import ReaderClient, ReaderDesk
+    from wharftiller.daemons.sessions.retirement import BoxRetirement
+    from wharftiller.daemons.sessions.seams import Feeds, SharedListing, SharedObjects
+    from wharftiller.daemons.sessions.state import SharedState
+
+REGISTERED_S = 0.6
+"""Time in which all boxes of a first start register, in seconds: they start within 0.3 s."""
+
+FEEDS_WAIT_S = 1.0
+"""Time for the first read of the platform before feeds are followed all the same, in seconds."""
+
+LOOK_S = 0.1
+"""Time between looks at whether to read again, in seconds."""
+
+
+class SharedReads:
+    """Own reads of the platform, as often as needed.
+
+    Parameters
+    ----------
+    first_start : bool
+        Whether the whole deployment starts for the first time.
+    """
+
+    def __init__(
+        self,
+        state: SharedState,
+        directory: BoxDirectory,
+        box: Box,
+        shared: SharedObjects,
+        listings: Listings,
+        readers: ReaderClient,
+        desk: ReaderDesk,
+        retirement: BoxRetirement,
+        rounds: LeaseRounds,
+        feeds: Feeds,
+        pace: ReadPace,
+        first_start: bool,
+    ) -> None:
+        self._state = state
+        self._directory = directory
+        self._box = box
+        self._shared = shared
+        self._listings = listings
+        self._readers = readers
+        self._desk = desk
+        self._retirement = retirement
+        self._rounds = rounds
+        self._feeds = feeds
+        self._pace = pace
+        self._first_start = first_start
+        self._platform_answers: bool | None = None
+
+    @property
+    def reads_for_others(self) -> bool:
+        """Whether this box reads the platform for others."""
+        if self._readers.applies:
+            return self._readers.is_reader
+        return self._directory.is_reading_box
+
+    async def run(self) -> None:
+        """Read for ever: often where no other box does it for this one."""
+        while True:
+            started = trio.current_time()
+            await self._read()
+            while not read_is_due(self._view(started), self._pace):
+                await trio.sleep(LOOK_S)
+
+    def _view(self, tried_at: float) -> ReadingView:
+        now = trio.current_time()
+        return ReadingView(
+            since_s=now - tried_at,
+            misses_lease=self._state.leases.misses_lease(now),
+            by_data_centre=self._readers.applies,
+            reads_for_others=self.reads_for_others,
+            renewed=self._rounds.renewed,
+            known_age_s=now - self._directory.platform_read_at,
+        )
+
+    async def choose_feeds(self) -> None:
+        """Follow configuration and endpoints where no reader tells of them."""
+        started = trio.current_time()
+        while True:
+            known = self._directory.platform_answers
+            if known or trio.current_time() - started > FEEDS_WAIT_S:
+                behind_reader = self._readers.applies and not self._readers.is_reader
+                self._feeds.follow(not (behind_reader and self._rounds.renewed))
+            await trio.sleep(LOOK_S)
+
+    async def _read(self) -> None:
+        try:
+            listing, asked_at = await self._read_registered()
+        except PlatformUnavailableError as error:
+            self._platform_answered(False, str(error))
+            return
+        self._platform_answered(True)
+        self._desk.note(listing, asked_at)
+        self._retirement.look(self._listings.others(listing), asked_at)
+        self._listings.take(listing, asked_at)
+        known_age_s = asked_at - self._directory.platform_read_at
+        alone = self.reads_for_others or not self._rounds.renewed
+        if alone or known_age_s > self._pace.known_s:
+            self._feeds.noticed(listing.revision)
+        self._directory.platform_read_at = max(self._directory.platform_read_at, asked_at)
+
+    async def _read_registered(self) -> tuple[SharedListing, float]:
+        """Return a listing that holds this box, and when it was asked for."""
+        asked_at = trio.current_time()
+        listing = await self._shared.read()
+        if self._listings.holds_this_process(listing):
+            return listing, asked_at
+        # Others' lists may lack this box now: it counts as a newcomer once it is listed.
+        self._directory.listed_since = None
+        await self._shared.register(self._box)
+        if self._first_start:
+            # All boxes register now: one read later shows them all.
+            await trio.sleep(REGISTERED_S)
+        # A lease counts only from a read made after the registration.
+        asked_at = trio.current_time()
+        return await self._shared.read(), asked_at
+
+    def _platform_answered(self, answers: bool, why: str = "") -> None:
+        self._directory.platform_answers = answers
+        if self._platform_answers != answers:
+            self._platform_answers = answers
+            self._state.log.change("platform_back" if answers else "platform_lost", why=why)
--- a/wharftiller/tests/platform/test_changes_under_failures.py
+++ b/wharftiller/tests/platform/test_changes_under_failures.py
@@ -89,7 +89,7 @@
             reading = [
                 box
                 for box in world.boxes.values()
-                if box.process.proxy is not None and box.process.proxy._is_reader
+                if box.process.proxy is not None and box.process.proxy._reads.reads_for_others
             ]
             world.network.cut([reading[0].ip], [STORE_IP])
             document = world.store.spec("config", "main")
--- a/wharftiller/tests/platform/test_readers.py
+++ b/wharftiller/tests/platform/test_readers.py
@@ -23,7 +23,7 @@
     return [
         box.name
         for box in world.boxes.values()
-        if box.process.proxy is not None and box.process.proxy._is_reader
+        if box.process.proxy is not None and box.process.proxy._reads.reads_for_others
     ]
 
 
