--- a/wharftiller/daemons/sessions/pool.py
+++ b/wharftiller/daemons/sessions/connections/pool.py
@@ -11,8 +11,8 @@
 
 from wharftiller.core.errors import EndpointRefusedError, ExchangeError
 from wharftiller.core.sessions.concurrency import ConcurrencyLimit
-from wharftiller.daemons.sessions.place_queue import PlaceQueue, Waiter
-from wharftiller.daemons.sessions.pooled_connection import PooledConnection
+from wharftiller.daemons.sessions.connections.place_queue import PlaceQueue, Waiter
+from wharftiller.daemons.sessions.connections.pooled_connection import PooledConnection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/wharftiller/daemons/sessions/pooled_connection.py
+++ b/wharftiller/daemons/sessions/connections/pooled_connection.py
@@ -21,7 +21,7 @@
 
 if TYPE_CHECKING:
     from wharftiller.core.sessions.session import Session
-    from wharftiller.daemons.sessions.pool import EndpointPool
+    from wharftiller.daemons.sessions.connections.pool import EndpointPool
     from wharftiller.daemons.sessions.seams import EndpointConnection
 
 OwnStatement = ResetSession | SetValue | Prepare
--- a/wharftiller/daemons/sessions/probes.py
+++ b/wharftiller/daemons/sessions/connections/probes.py
@@ -10,12 +10,12 @@
 from wharftiller.core.errors import EndpointRefusedError, ExchangeError
 from wharftiller.core.sessions.session import Session
 from wharftiller.core.sessions.statements import Demote, EndpointQuery
-from wharftiller.daemons.sessions.boxes import HEARD_RECENT_S
+from wharftiller.daemons.sessions.membership.boxes import HEARD_RECENT_S
 
 if TYPE_CHECKING:
     from wharftiller.core.sessions.endpoints import EndpointRow
     from wharftiller.core.sessions.statements import EndpointStatus
-    from wharftiller.daemons.sessions.boxes import BoxDirectory
+    from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
     from wharftiller.daemons.sessions.seams import EndpointDialer
     from wharftiller.daemons.sessions.state import SharedState
 
--- a/wharftiller/daemons/sessions/gauges.py
+++ b/wharftiller/daemons/sessions/gauges.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from wharftiller.daemons.sessions.boxes import BoxDirectory
+    from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
     from wharftiller.daemons.sessions.state import SharedState
 
 
--- /dev/null
+++ b/wharftiller/daemons/sessions/homes/__init__.py
@@ -0,0 +1,1 @@
+"""Statements passed between boxes where connections are scarce."""
--- a/wharftiller/daemons/sessions/forwarded.py
+++ b/wharftiller/daemons/sessions/homes/forwarded.py
@@ -11,8 +11,8 @@
 from wharftiller.core.sessions.come_back import Cause
 from wharftiller.core.sessions.session import Session
 from wharftiller.core.sessions.statements import Execute, RefusalKind, SessionState
-from wharftiller.daemons.sessions.routed import StatementRefusedError
-from wharftiller.daemons.sessions.statements import StatementRunner
+from wharftiller.daemons.sessions.serving.routed import StatementRefusedError
+from wharftiller.daemons.sessions.serving.statements import StatementRunner
 from wharftiller.edges.forwarded_json import ForwardedReply, reply_to_json, statement_from_json
 
 if TYPE_CHECKING:
--- a/wharftiller/daemons/sessions/forwarding.py
+++ b/wharftiller/daemons/sessions/homes/forwarding.py
@@ -12,7 +12,7 @@
 from wharftiller.core.sessions.come_back import Cause
 from wharftiller.core.sessions.session import RemoteTransaction
 from wharftiller.core.sessions.statements import Commit, RefusalKind, Reply, SessionState
-from wharftiller.daemons.sessions.routed import (
+from wharftiller.daemons.sessions.serving.routed import (
     MARGIN_S,
     StatementRefusedError,
     route_statement,
@@ -26,10 +26,10 @@
     from wharftiller.core.sessions.routes import Route
     from wharftiller.core.sessions.session import OpenTransaction, Session
     from wharftiller.core.sessions.statements import Statement
-    from wharftiller.daemons.sessions.boxes import Box, BoxDirectory
-    from wharftiller.daemons.sessions.home_links import HomeLinks
-    from wharftiller.daemons.sessions.homes import Homes
-    from wharftiller.daemons.sessions.routed import RoutedStatement
+    from wharftiller.daemons.sessions.homes.home_links import HomeLinks
+    from wharftiller.daemons.sessions.homes.homes import Homes
+    from wharftiller.daemons.sessions.membership.boxes import Box, BoxDirectory
+    from wharftiller.daemons.sessions.serving.routed import RoutedStatement
     from wharftiller.daemons.sessions.state import SharedState
     from wharftiller.edges.forwarded_json import ForwardedReply
 
--- a/wharftiller/daemons/sessions/home_links.py
+++ b/wharftiller/daemons/sessions/homes/home_links.py
@@ -16,8 +16,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from wharftiller.daemons.sessions.boxes import Box, BoxDirectory
-    from wharftiller.daemons.sessions.homes import Homes
+    from wharftiller.daemons.sessions.homes.homes import Homes
+    from wharftiller.daemons.sessions.membership.boxes import Box, BoxDirectory
     from wharftiller.daemons.sessions.state import SharedState
     from wharftiller.edges.forwarded_json import ForwardedReply, ForwardedStatement
     from wharftiller.edges.transport import Transport
--- /dev/null
+++ b/wharftiller/daemons/sessions/leadership/__init__.py
@@ -0,0 +1,1 @@
+"""Changes of primary."""
--- a/wharftiller/daemons/sessions/changes.py
+++ b/wharftiller/daemons/sessions/leadership/changes.py
@@ -14,13 +14,13 @@
 if TYPE_CHECKING:
     from wharftiller.core.leadership.record import LeadershipRecord
     from wharftiller.core.sessions.endpoints import EndpointRow
-    from wharftiller.daemons.sessions.boxes import BoxDirectory
-    from wharftiller.daemons.sessions.probes import Prober
-    from wharftiller.daemons.sessions.record_writer import RecordWriter
+    from wharftiller.daemons.sessions.connections.probes import Prober
+    from wharftiller.daemons.sessions.leadership.record_writer import RecordWriter
+    from wharftiller.daemons.sessions.leadership.stopping import BoxStopper
+    from wharftiller.daemons.sessions.leadership.successors import Successors
+    from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
     from wharftiller.daemons.sessions.seams import Promotions
     from wharftiller.daemons.sessions.state import SharedState
-    from wharftiller.daemons.sessions.stopping import BoxStopper
-    from wharftiller.daemons.sessions.successors import Successors
 
 ASK_AGAIN_S = 0.2
 """Time before a promotion or an update that failed is asked for again, in seconds."""
--- a/wharftiller/daemons/sessions/mover.py
+++ b/wharftiller/daemons/sessions/leadership/mover.py
@@ -18,20 +18,20 @@
     turn_of,
 )
 from wharftiller.core.leadership.record import Leading, Moving
-from wharftiller.daemons.sessions.changes import ChangeRunner
-from wharftiller.daemons.sessions.record_writer import RecordWriter
-from wharftiller.daemons.sessions.stopping import BoxStopper
-from wharftiller.daemons.sessions.successors import Successors
+from wharftiller.daemons.sessions.leadership.changes import ChangeRunner
+from wharftiller.daemons.sessions.leadership.record_writer import RecordWriter
+from wharftiller.daemons.sessions.leadership.stopping import BoxStopper
+from wharftiller.daemons.sessions.leadership.successors import Successors
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from wharftiller.core.leadership.moves import Candidate
     from wharftiller.core.leadership.record import LeadershipRecord
-    from wharftiller.daemons.sessions.box_server import BoxServer
-    from wharftiller.daemons.sessions.boxes import BoxDirectory
-    from wharftiller.daemons.sessions.homes import Homes
-    from wharftiller.daemons.sessions.probes import Prober
+    from wharftiller.daemons.sessions.connections.probes import Prober
+    from wharftiller.daemons.sessions.homes.homes import Homes
+    from wharftiller.daemons.sessions.membership.box_server import BoxServer
+    from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
     from wharftiller.daemons.sessions.seams import Promotions, SharedListing, SharedObjects
     from wharftiller.daemons.sessions.state import SharedState
 
--- a/wharftiller/daemons/sessions/stopping.py
+++ b/wharftiller/daemons/sessions/leadership/stopping.py
@@ -13,8 +13,8 @@
     from collections.abc import Callable
 
     from wharftiller.core.leadership.record import LeadershipRecord
-    from wharftiller.daemons.sessions.box_server import BoxServer
-    from wharftiller.daemons.sessions.boxes import Box, BoxDirectory
+    from wharftiller.daemons.sessions.membership.box_server import BoxServer
+    from wharftiller.daemons.sessions.membership.boxes import Box, BoxDirectory
     from wharftiller.daemons.sessions.seams import SharedListing, SharedObjects
     from wharftiller.daemons.sessions.state import SharedState
 
--- a/wharftiller/daemons/sessions/successors.py
+++ b/wharftiller/daemons/sessions/leadership/successors.py
@@ -14,7 +14,7 @@
 if TYPE_CHECKING:
     from wharftiller.core.sessions.endpoints import EndpointRow
     from wharftiller.core.sessions.statements import EndpointStatus
-    from wharftiller.daemons.sessions.probes import Prober
+    from wharftiller.daemons.sessions.connections.probes import Prober
     from wharftiller.daemons.sessions.state import SharedState
 
 CATCH_UP_S = 1.5
--- a/wharftiller/daemons/sessions/box_server.py
+++ b/wharftiller/daemons/sessions/membership/box_server.py
@@ -7,7 +7,7 @@
 import trio
 
 from wharftiller.core.errors import BadRequestError, UnknownPathError
-from wharftiller.daemons.sessions.boxes import HEARD_RECENT_S
+from wharftiller.daemons.sessions.membership.boxes import HEARD_RECENT_S
 from wharftiller.edges.http_server import HttpRequest, HttpResponse
 from wharftiller.edges.leadership_json import record_from_json, record_to_json
 
@@ -15,10 +15,10 @@
     from collections.abc import Awaitable, Callable
 
     from wharftiller.core.leadership.record import LeadershipRecord
-    from wharftiller.daemons.sessions.boxes import BoxDirectory
-    from wharftiller.daemons.sessions.forwarded import ForwardedDesk
-    from wharftiller.daemons.sessions.home_links import HomeLinks
-    from wharftiller.daemons.sessions.readers import ReaderDesk
+    from wharftiller.daemons.sessions.homes.forwarded import ForwardedDesk
+    from wharftiller.daemons.sessions.homes.home_links import HomeLinks
+    from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
+    from wharftiller.daemons.sessions.membership.readers import ReaderDesk
     from wharftiller.daemons.sessions.state import SharedState
 
 QUIET_WAIT_S = 1.0
--- a/wharftiller/daemons/sessions/isolation.py
+++ b/wharftiller/daemons/sessions/membership/isolation.py
@@ -11,8 +11,8 @@
 from wharftiller.core.sessions.isolation import Begin, End, Isolation, IsolationView, SendAway
 
 if TYPE_CHECKING:
-    from wharftiller.daemons.sessions.boxes import Box, BoxDirectory
-    from wharftiller.daemons.sessions.callers import SessionServer
+    from wharftiller.daemons.sessions.membership.boxes import Box, BoxDirectory
+    from wharftiller.daemons.sessions.serving.callers import SessionServer
     from wharftiller.daemons.sessions.state import SharedState
 
 LOOK_S = 0.1
--- a/wharftiller/daemons/sessions/lease_rounds.py
+++ b/wharftiller/daemons/sessions/membership/lease_rounds.py
@@ -6,12 +6,12 @@
 
 import trio
 
-from wharftiller.daemons.sessions.boxes import ROUND_S
+from wharftiller.daemons.sessions.membership.boxes import ROUND_S
 
 if TYPE_CHECKING:
-    from wharftiller.daemons.sessions.boxes import BoxDirectory
-    from wharftiller.daemons.sessions.neighbours import Neighbours
-    from wharftiller.daemons.sessions.readers import ReaderClient
+    from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
+    from wharftiller.daemons.sessions.membership.neighbours import Neighbours
+    from wharftiller.daemons.sessions.membership.readers import ReaderClient
     from wharftiller.daemons.sessions.state import SharedState
 
 ROUNDS_AFTER_S = 2.5
--- a/wharftiller/daemons/sessions/listings.py
+++ b/wharftiller/daemons/sessions/membership/listings.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from wharftiller.daemons.sessions.boxes import Box, BoxDirectory
+    from wharftiller.daemons.sessions.membership.boxes import Box, BoxDirectory
     from wharftiller.daemons.sessions.seams import SharedListing
     from wharftiller.daemons.sessions.state import SharedState
 
--- a/wharftiller/daemons/sessions/neighbours.py
+++ b/wharftiller/daemons/sessions/membership/neighbours.py
@@ -8,13 +8,13 @@
 import trio
 
 from wharftiller.core.sessions.routes import EndpointEntry
-from wharftiller.daemons.sessions.boxes import Box
+from wharftiller.daemons.sessions.membership.boxes import Box
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
     from wharftiller.core.sessions.routes import SessionConfiguration
-    from wharftiller.daemons.sessions.boxes import BoxDirectory
+    from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
     from wharftiller.daemons.sessions.state import SharedState
 
 LEARN_AGAIN_S = 0.5
--- a/wharftiller/daemons/sessions/readers.py
+++ b/wharftiller/daemons/sessions/membership/readers.py
@@ -16,14 +16,14 @@
 
 from wharftiller.core.errors import BadRequestError, ExchangeError
 from wharftiller.core.rendezvous import ranked
-from wharftiller.daemons.sessions.boxes import ROUND_TIMEOUT_S, Box
+from wharftiller.daemons.sessions.membership.boxes import ROUND_TIMEOUT_S, Box
 from wharftiller.daemons.sessions.seams import SharedListing
 from wharftiller.edges.leadership_json import record_from_json, record_to_json
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from wharftiller.daemons.sessions.boxes import BoxDirectory
+    from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
     from wharftiller.daemons.sessions.state import SharedState
 
 MANY_BOXES = 16
--- a/wharftiller/daemons/sessions/retirement.py
+++ b/wharftiller/daemons/sessions/membership/retirement.py
@@ -13,13 +13,13 @@
 
 from wharftiller.core.errors import PlatformUnavailableError
 from wharftiller.core.leadership.lease import LEASE_S, LISTING_S
-from wharftiller.daemons.sessions.readers import ASKED_LATELY_S
+from wharftiller.daemons.sessions.membership.readers import ASKED_LATELY_S
 
 if TYPE_CHECKING:
     import trio
 
-    from wharftiller.daemons.sessions.boxes import Box, BoxDirectory
-    from wharftiller.daemons.sessions.readers import ReaderClient, ReaderDesk
+    from wharftiller.daemons.sessions.membership.boxes import Box, BoxDirectory
+    from wharftiller.daemons.sessions.membership.readers import ReaderClient, ReaderDesk
     from wharftiller.daemons.sessions.seams import SharedObjects
     from wharftiller.daemons.sessions.state import SharedState
 
--- a/wharftiller/daemons/sessions/shared_reads.py
+++ b/wharftiller/daemons/sessions/membership/shared_reads.py
@@ -10,11 +10,11 @@
 from wharftiller.core.leadership.reading import ReadingView, ReadPace, read_is_due
 
 if TYPE_CHECKING:
-    from wharftiller.daemons.sessions.boxes import Box, BoxDirectory
-    from wharftiller.daemons.sessions.lease_rounds import LeaseRounds
-    from wharftiller.daemons.sessions.listings import Listings
-    from wharftiller.daemons.sessions.readers import ReaderClient, ReaderDesk
-    from wharftiller.daemons.sessions.retirement import BoxRetirement
+    from wharftiller.daemons.sessions.membership.boxes import Box, BoxDirectory
+    from wharftiller.daemons.sessions.membership.lease_rounds import LeaseRounds
+    from wharftiller.daemons.sessions.membership.listings import Listings
+    from wharftiller.daemons.sessions.membership.readers import ReaderClient, ReaderDesk
+    from wharftiller.daemons.sessions.membership.retirement import BoxRetirement
     from wharftiller.daemons.sessions.seams import Feeds, SharedListing, SharedObjects
     from wharftiller.daemons.sessions.state import SharedState
 
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -10,28 +10,28 @@
 
 from wharftiller.core.errors import PlatformUnavailableError, UnknownPathError
 from wharftiller.core.leadership.reading import ReadPace
-from wharftiller.daemons.sessions.box_server import BoxServer
-from wharftiller.daemons.sessions.boxes import Box, BoxDirectory
-from wharftiller.daemons.sessions.callers import SessionServer
-from wharftiller.daemons.sessions.drain import LAST_MOMENT_S, Drain
-from wharftiller.daemons.sessions.forwarded import ForwardedDesk
-from wharftiller.daemons.sessions.forwarding import Forwarder
+from wharftiller.daemons.sessions.connections.pool import MAINTENANCE_S
+from wharftiller.daemons.sessions.connections.probes import Prober
+from wharftiller.daemons.sessions.connections.relay import RelayServer
 from wharftiller.daemons.sessions.gauges import believed
-from wharftiller.daemons.sessions.home_links import HomeLinks
-from wharftiller.daemons.sessions.homes import Homes
-from wharftiller.daemons.sessions.isolation import IsolationWatch
-from wharftiller.daemons.sessions.lease_rounds import LeaseRounds
-from wharftiller.daemons.sessions.listings import Listings
-from wharftiller.daemons.sessions.mover import PrimaryMover
-from wharftiller.daemons.sessions.neighbours import Neighbours
-from wharftiller.daemons.sessions.pool import MAINTENANCE_S
-from wharftiller.daemons.sessions.probes import Prober
-from wharftiller.daemons.sessions.readers import ReaderClient, ReaderDesk
-from wharftiller.daemons.sessions.relay import RelayServer
-from wharftiller.daemons.sessions.retirement import BoxRetirement
-from wharftiller.daemons.sessions.shared_reads import SharedReads
+from wharftiller.daemons.sessions.homes.forwarded import ForwardedDesk
+from wharftiller.daemons.sessions.homes.forwarding import Forwarder
+from wharftiller.daemons.sessions.homes.home_links import HomeLinks
+from wharftiller.daemons.sessions.homes.homes import Homes
+from wharftiller.daemons.sessions.leadership.mover import PrimaryMover
+from wharftiller.daemons.sessions.membership.box_server import BoxServer
+from wharftiller.daemons.sessions.membership.boxes import Box, BoxDirectory
+from wharftiller.daemons.sessions.membership.isolation import IsolationWatch
+from wharftiller.daemons.sessions.membership.lease_rounds import LeaseRounds
+from wharftiller.daemons.sessions.membership.listings import Listings
+from wharftiller.daemons.sessions.membership.neighbours import Neighbours
+from wharftiller.daemons.sessions.membership.readers import ReaderClient, ReaderDesk
+from wharftiller.daemons.sessions.membership.retirement import BoxRetirement
+from wharftiller.daemons.sessions.membership.shared_reads import SharedReads
+from wharftiller.daemons.sessions.serving.callers import SessionServer
+from wharftiller.daemons.sessions.serving.drain import LAST_MOMENT_S, Drain
+from wharftiller.daemons.sessions.serving.statements import StatementRunner
 from wharftiller.daemons.sessions.state import SharedState
-from wharftiller.daemons.sessions.statements import StatementRunner
 from wharftiller.edges.http_server import HttpResponse
 from wharftiller.edges.metrics_page import metrics_page
 
--- /dev/null
+++ b/wharftiller/daemons/sessions/serving/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' sessions and their statements."""
--- a/wharftiller/daemons/sessions/callers.py
+++ b/wharftiller/daemons/sessions/serving/callers.py
@@ -13,8 +13,8 @@
     from collections.abc import Collection
 
     from wharftiller.core.sessions.statements import Reply, Statement
+    from wharftiller.daemons.sessions.serving.statements import StatementRunner
     from wharftiller.daemons.sessions.state import SharedState
-    from wharftiller.daemons.sessions.statements import StatementRunner
 
 
 class CallerChannel(Protocol):
--- a/wharftiller/daemons/sessions/choice.py
+++ b/wharftiller/daemons/sessions/serving/choice.py
@@ -10,7 +10,7 @@
 from wharftiller.core.sessions.come_back import SOON_S, Cause, primary_back_in_s
 from wharftiller.core.sessions.routing import AnyReplica, need_of_read, replica_order
 from wharftiller.core.sessions.statements import RefusalKind
-from wharftiller.daemons.sessions.routed import NoPlaceError, StatementRefusedError
+from wharftiller.daemons.sessions.serving.routed import NoPlaceError, StatementRefusedError
 
 if TYPE_CHECKING:
     from collections.abc import Set
@@ -18,8 +18,8 @@
     from wharftiller.core.positions import LogPosition
     from wharftiller.core.sessions.endpoints import EndpointRow
     from wharftiller.core.sessions.routes import Route
-    from wharftiller.daemons.sessions.pooled_connection import PooledConnection
-    from wharftiller.daemons.sessions.routed import RoutedStatement
+    from wharftiller.daemons.sessions.connections.pooled_connection import PooledConnection
+    from wharftiller.daemons.sessions.serving.routed import RoutedStatement
     from wharftiller.daemons.sessions.state import SharedState
 
 HOLD_FOR_PRIMARY_S = 0.7
--- a/wharftiller/daemons/sessions/confirmation.py
+++ b/wharftiller/daemons/sessions/serving/confirmation.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from wharftiller.core.sessions.statements import RefusalKind
-from wharftiller.daemons.sessions.routed import StatementRefusedError
+from wharftiller.daemons.sessions.serving.routed import StatementRefusedError
 
 if TYPE_CHECKING:
     from wharftiller.core.sessions.endpoints import EndpointRow
--- a/wharftiller/daemons/sessions/drain.py
+++ b/wharftiller/daemons/sessions/serving/drain.py
@@ -9,8 +9,8 @@
 from wharftiller.core.sessions.isolation import BALANCER_SEES_S
 
 if TYPE_CHECKING:
-    from wharftiller.daemons.sessions.callers import SessionServer
-    from wharftiller.daemons.sessions.forwarded import ForwardedDesk
+    from wharftiller.daemons.sessions.homes.forwarded import ForwardedDesk
+    from wharftiller.daemons.sessions.serving.callers import SessionServer
 
 LAST_MOMENT_S = 0.5
 """Time kept before the platform kills a stopping process, in seconds."""
--- a/wharftiller/daemons/sessions/routed.py
+++ b/wharftiller/daemons/sessions/serving/routed.py
@@ -26,7 +26,7 @@
     from wharftiller.core.sessions.routes import Route
     from wharftiller.core.sessions.session import Session
     from wharftiller.core.sessions.statements import SessionState
-    from wharftiller.daemons.sessions.pooled_connection import PooledConnection
+    from wharftiller.daemons.sessions.connections.pooled_connection import PooledConnection
 
 MARGIN_S = 0.02
 """Time kept to answer before a statement's time-out, in seconds."""
--- a/wharftiller/daemons/sessions/singles.py
+++ b/wharftiller/daemons/sessions/serving/singles.py
@@ -10,9 +10,9 @@
 from wharftiller.core.errors import ExchangeError
 from wharftiller.core.sessions.come_back import Cause
 from wharftiller.core.sessions.statements import RefusalKind, Reply, SessionState
-from wharftiller.daemons.sessions.confirmation import confirm_write
-from wharftiller.daemons.sessions.notes import note_passed_over
-from wharftiller.daemons.sessions.routed import (
+from wharftiller.daemons.sessions.serving.confirmation import confirm_write
+from wharftiller.daemons.sessions.serving.notes import note_passed_over
+from wharftiller.daemons.sessions.serving.routed import (
     BUSY_PAUSE_S,
     BUSY_TRIES,
     READ_TRIES,
@@ -29,10 +29,10 @@
     from wharftiller.core.sessions.routes import Route
     from wharftiller.core.sessions.session import Session
     from wharftiller.core.sessions.statements import Statement
-    from wharftiller.daemons.sessions.choice import EndpointChooser
-    from wharftiller.daemons.sessions.patience import ReadPatience
-    from wharftiller.daemons.sessions.pooled_connection import PooledConnection
-    from wharftiller.daemons.sessions.routed import RoutedStatement
+    from wharftiller.daemons.sessions.connections.pooled_connection import PooledConnection
+    from wharftiller.daemons.sessions.serving.choice import EndpointChooser
+    from wharftiller.daemons.sessions.serving.patience import ReadPatience
+    from wharftiller.daemons.sessions.serving.routed import RoutedStatement
     from wharftiller.daemons.sessions.state import SharedState
 
 READ_PATIENCE = 0.45
--- a/wharftiller/daemons/sessions/statements.py
+++ b/wharftiller/daemons/sessions/serving/statements.py
@@ -17,17 +17,17 @@
     SetValue,
     refused,
 )
-from wharftiller.daemons.sessions.choice import EndpointChooser
-from wharftiller.daemons.sessions.notes import note_answer, note_run_for_box
-from wharftiller.daemons.sessions.patience import ReadPatience
-from wharftiller.daemons.sessions.singles import SingleRunner
-from wharftiller.daemons.sessions.transactions import TransactionRunner
+from wharftiller.daemons.sessions.serving.choice import EndpointChooser
+from wharftiller.daemons.sessions.serving.notes import note_answer, note_run_for_box
+from wharftiller.daemons.sessions.serving.patience import ReadPatience
+from wharftiller.daemons.sessions.serving.singles import SingleRunner
+from wharftiller.daemons.sessions.serving.transactions import TransactionRunner
 
 if TYPE_CHECKING:
     from wharftiller.core.sessions.routes import Route
     from wharftiller.core.sessions.session import OpenTransaction, Session
     from wharftiller.core.sessions.statements import Statement
-    from wharftiller.daemons.sessions.forwarding import Forwarder
+    from wharftiller.daemons.sessions.homes.forwarding import Forwarder
     from wharftiller.daemons.sessions.state import SharedState
 
 
--- a/wharftiller/daemons/sessions/transactions.py
+++ b/wharftiller/daemons/sessions/serving/transactions.py
@@ -18,8 +18,8 @@
     Reply,
     SessionState,
 )
-from wharftiller.daemons.sessions.confirmation import confirm_write
-from wharftiller.daemons.sessions.routed import (
+from wharftiller.daemons.sessions.serving.confirmation import confirm_write
+from wharftiller.daemons.sessions.serving.routed import (
     BUSY_PAUSE_S,
     BUSY_TRIES,
     READ_TRIES,
@@ -31,9 +31,9 @@
     from wharftiller.core.sessions.routes import Route
     from wharftiller.core.sessions.session import Session
     from wharftiller.core.sessions.statements import Statement
-    from wharftiller.daemons.sessions.choice import EndpointChooser
-    from wharftiller.daemons.sessions.pooled_connection import PooledConnection
-    from wharftiller.daemons.sessions.routed import RoutedStatement
+    from wharftiller.daemons.sessions.connections.pooled_connection import PooledConnection
+    from wharftiller.daemons.sessions.serving.choice import EndpointChooser
+    from wharftiller.daemons.sessions.serving.routed import RoutedStatement
     from wharftiller.daemons.sessions.state import SharedState
 
 
--- a/wharftiller/daemons/sessions/state.py
+++ b/wharftiller/daemons/sessions/state.py
@@ -18,13 +18,13 @@
 from wharftiller.core.sessions.figures import Figures
 from wharftiller.core.sessions.routes import EndpointEntry, SessionConfiguration
 from wharftiller.core.sessions.statements import EndpointQuery, RefusalKind, Rollback
-from wharftiller.daemons.sessions.pool import EndpointPool
+from wharftiller.daemons.sessions.connections.pool import EndpointPool
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from wharftiller.core.sessions.statements import Refusal
-    from wharftiller.daemons.sessions.pooled_connection import PooledConnection
+    from wharftiller.daemons.sessions.connections.pooled_connection import PooledConnection
     from wharftiller.daemons.sessions.seams import EndpointDialer
     from wharftiller.decisions import DecisionLog
 
--- a/wharftiller/platform/endpoints.py
+++ b/wharftiller/platform/endpoints.py
@@ -8,7 +8,7 @@
 
 from wharftiller.core.errors import EndpointRefusedError, ExchangeError
 from wharftiller.core.sessions.statements import AskStatus, EndpointQuery, RefusalKind
-from wharftiller.daemons.sessions.relay import open_through
+from wharftiller.daemons.sessions.connections.relay import open_through
 from wharftiller.edges.transport import reset_on_close
 from wharftiller.platform.wire import (
     LineReader,
--- a/wharftiller/tests/daemons/sessions/test_pool.py
+++ b/wharftiller/tests/daemons/sessions/connections/test_pool.py
@@ -27,8 +27,12 @@
     SessionState,
     SetValue,
 )
-from wharftiller.daemons.sessions.pool import EXTRA_IDLE_S, REFUSED_PAUSE_S, EndpointPool
-from wharftiller.daemons.sessions.pooled_connection import PooledConnection
+from wharftiller.daemons.sessions.connections.pool import (
+    EXTRA_IDLE_S,
+    REFUSED_PAUSE_S,
+    EndpointPool,
+)
+from wharftiller.daemons.sessions.connections.pooled_connection import PooledConnection
 
 OPEN_S = 0.012
 GOAL_S = 0.25
--- a/wharftiller/tests/platform/test_changes_under_failures.py
+++ b/wharftiller/tests/platform/test_changes_under_failures.py
@@ -7,7 +7,7 @@
 
 from standins.object_store import Mood
 from wharftiller.core.leadership.lease import LEASE_S, LISTING_S
-from wharftiller.daemons.sessions.retirement import SILENT_S
+from wharftiller.daemons.sessions.membership.retirement import SILENT_S
 from wharftiller.tests.platform.world import (
     STORE,
     STORE_IP,
--- a/wharftiller/tests/platform/test_readers.py
+++ b/wharftiller/tests/platform/test_readers.py
@@ -6,7 +6,7 @@
 import trio
 
 from standins.object_store import Mood
-from wharftiller.daemons.sessions import readers
+from wharftiller.daemons.sessions.membership import readers
 from wharftiller.tests.platform.world import STORE_IP, World, run_in_world, write_until_done
 
 BOXES = 9
