--- a/standins/line_endpoints.py
+++ b/standins/line_endpoints.py
@@ -7,13 +7,17 @@
 
 from __future__ import annotations
 
+import math
 import zlib
+from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
 import attrs
 import trio
 
 if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
     from wharftiller.edges.transport import Transport
 
 SYNC_LOOK_S = 0.005
@@ -46,6 +50,10 @@
         So many statements are refused for want of a slot, or run and not answered.
     started : list of str
         Ids of the statements that took a slot.
+    waiting : int
+        Statements and new connections that wait for a slot.
+    lingering : dict of str to float
+        Hosts that lost power, and until when connections of theirs still count, in seconds.
     """
 
     name: str
@@ -63,6 +71,27 @@
     busy_answers: int = 0
     lose_answers: int = 0
     started: list[str] = attrs.field(factory=list)
+    waiting: int = 0
+    lingering: dict[str, float] = attrs.field(factory=dict)
+    _slots: trio.Semaphore | None = None
+
+    @asynccontextmanager
+    async def slot(self) -> AsyncIterator[None]:
+        """Hold a slot; without any limit at once."""
+        if self.group.slots is None:
+            yield
+            return
+        if self._slots is None:
+            self._slots = trio.Semaphore(self.group.slots)
+        self.waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self.waiting -= 1
+        try:
+            yield
+        finally:
+            self._slots.release()
 
     @property
     def position(self) -> str:
@@ -95,6 +124,12 @@
         Time until replicas hold a write, for a statement and for a promotion, in seconds.
     sync_replicas : int
         Replicas that hold a write before it is acknowledged.
+    slots : int or None
+        Statements and new connections that a server works on at once; None for any number.
+    queue : int
+        How many more may wait; all further statements are refused as busy.
+    handshake_s : float
+        Time for which a new connection holds a slot, in seconds.
     promotions : list of (str, str, int)
         Every order of a promotion: server, holder and fence.
     """
@@ -105,6 +140,9 @@
     work_s: float = 0.01
     promote_s: float = 0.3
     sync_replicas: int = 0
+    slots: int | None = None
+    queue: int = 16
+    handshake_s: float = 0.0
     servers: list[LineServer] = attrs.field(factory=list)
     promotions: list[tuple[str, str, int]] = attrs.field(factory=list)
     nursery: trio.Nursery | None = None
@@ -189,6 +227,9 @@
             # The caller reset it; what was open is rolled back.
             pass
         finally:
+            host = getattr(stream, "there", "")
+            with trio.CancelScope(shield=True):
+                await trio.sleep_until(server.lingering.get(host, -math.inf))
             server.connections -= 1
 
     await transport.serve(server.address, handle, task_status)
@@ -213,6 +254,8 @@
             if server.connections > server.group.max_connections:
                 await stream.send_all(b"ERROR OVERLOAD too many\r\n")
                 return
+            async with server.slot():
+                await trio.sleep(server.group.handshake_s)
             server.opened += 1
             state = _Open()
             await stream.send_all(f"READY I {server.position}\r\n".encode())
@@ -280,10 +323,11 @@
 
 async def _work(server: LineServer, state: _Open, request_id: str, text: str) -> list[str]:
     """Run what needs a slot: reads, writes and commits."""
-    if server.busy_answers:
-        server.busy_answers -= 1
+    if server.busy_answers or server.waiting > server.group.queue:
+        server.busy_answers = max(0, server.busy_answers - 1)
         return ["ERROR BUSY all slots are taken"]
-    await trio.sleep(server.group.work_s)
+    async with server.slot():
+        await trio.sleep(server.group.work_s)
     server.started.append(request_id)
     done = f"COMPLETE {proof(server, request_id, text)}"
     words = text.split(" ")
