Send the stop only once the proxy has read every booking

The test of a stop sent its signal 10 ms after it began 20 bookings; on a loaded machine some had not been taken by then. Each connection is answered once before, and a question sent after the bookings is answered before the signal; the outcomes asserted are the same, and that all 20 were answered.

--- a/wharftiller/tests/daemons/test_real_processes.py
+++ b/wharftiller/tests/daemons/test_real_processes.py
@@ -14,11 +14,14 @@
 import trio
 
 from standins.layout import Shape, write_layout
+from wharftiller.edges.http_client import HttpClient
+from wharftiller.edges.transport import TcpTransport
+from wharftiller.keys import bearer_header
 
 ROOT = Path(__file__).parents[3]
 sys.path.insert(0, str(ROOT / "scripts"))
 
-from story import Story  # type: ignore[import-not-found]  # noqa: E402
+from story import KEYS, POOL, Story  # type: ignore[import-not-found]  # noqa: E402
 
 DONE_WITHIN_S = 90.0
 """Time within which a booking is done on a machine of any load, in seconds."""
@@ -180,15 +183,37 @@
     def test_stopped_proxy_answers_what_it_accepted(self, processes: Processes) -> None:
         async def scenario(story: Story) -> None:
             answers: list[dict[str, Any]] = []
-
-            async def one(name: str) -> None:
-                answers.append(await book(story, "box-1", name))
+            address = story.layout["boxes"]["box-1"]["proxy"]
+            clients = [HttpClient(TcpTransport(), address) for _ in range(21)]
+            for client in clients:
+                # Answered, so the process itself has taken this connection.
+                await client.request("GET", "/ready", timeout_s=DONE_WITHIN_S)
+
+            async def one(number: int) -> None:
+                body = {
+                    "pool": POOL,
+                    "business": "rila-tours",
+                    "request_id": f"tourist-{number}",
+                    "kind": "write",
+                    "statement": {"append": "tour", "value": f"tourist-{number}"},
+                    "deadline_ms": 15_000,
+                }
+                headers = bearer_header(KEYS.mint("business", f"{POOL}/rila-tours"))
+                answer = await clients[number].request(
+                    "POST", "/statements", body, headers, timeout_s=DONE_WITHIN_S
+                )
+                answers.append(answer.json())
 
             async with trio.open_nursery() as nursery:
                 for number in range(20):
-                    nursery.start_soon(one, f"tourist-{number}")
+                    nursery.start_soon(one, number)
                 await trio.sleep(0.01)
+                # Sent after the bookings, so they have been read when this is answered.
+                await clients[20].request("GET", "/ready", timeout_s=DONE_WITHIN_S)
                 processes.signal("box-1-proxy", signal.SIGTERM)
+            for client in clients:
+                await client.aclose()
+            assert len(answers) == 20
             assert {answer["outcome"] for answer in answers} == {"done"}
             assert processes.running["box-1-proxy"].wait(timeout=30) == 0
 
