--- a/wharftiller/core/leadership/record.py
+++ b/wharftiller/core/leadership/record.py
@@ -76,6 +76,14 @@
         """The groups whose primary is being replaced."""
         return {name: state for name, state in self.groups.items() if isinstance(state, Moving)}
 
+    def lead(self, group: str) -> str | None:
+        """Return ``group``'s primary, the old one while it is being replaced; None if not known."""
+        match self.groups.get(group):
+            case Leading(endpoint) | Moving(Leading(endpoint)):
+                return endpoint
+            case _:
+                return None
+
     def with_group(self, group: str, state: GroupLeadership) -> LeadershipRecord:
         """Return the record with one group's state replaced."""
         return attrs.evolve(self, groups={**self.groups, group: state})
--- a/wharftiller/daemons/sessions/connections/probes.py
+++ b/wharftiller/daemons/sessions/connections/probes.py
@@ -63,7 +63,7 @@
             await trio.sleep(PROBE_S)
             now = trio.current_time()
             leads = {self._state.lead(group) for group in self._state.leases.record.groups}
-            for row in list(self._state.rows.values()):
+            for row in list(self._state.endpoints.rows.values()):
                 if (row.gone and row.name not in leads) or row.name in self._probing:
                     continue
                 if not self._state.serves_group(row.entry.group):
@@ -73,13 +73,13 @@
                 if row.is_suspect(now) or quiet_lead:
                     self._probing.add(row.name)
                     self._nursery.start_soon(self._probe, row, row.name in leads)
-                elif self._state.way_to(row) is not None:
+                elif self._state.endpoints.way_to(row) is not None:
                     self._probing.add(row.name)
                     self._nursery.start_soon(self._try_direct, row)
 
     def _is_quiet(self, row: EndpointRow, now: float) -> bool:
         """Return whether neither this box nor one that told it heard the primary lately."""
-        newest = self._state.points(row.entry.group).newest
+        newest = self._state.positions.of_group(row.entry.group).newest
         told_at = -math.inf if newest is None else newest.at
         return now - max(row.heard_at, told_at) > QUIET_PRIMARY_S
 
@@ -92,7 +92,7 @@
         now = trio.current_time()
         async with trio.open_nursery() as nursery:
             for name in names:
-                row = self._state.rows.get(name)
+                row = self._state.endpoints.rows.get(name)
                 if row is None or now - row.heard_at <= HEARD_RECENT_S / 2:
                     continue
                 if not self._state.serves_group(row.entry.group):
@@ -126,7 +126,7 @@
 
     def _change_way(self, row: EndpointRow) -> None:
         """Reach a primary that does not answer through another box, or directly again."""
-        pool = self._state.pool(row)
+        pool = self._state.endpoints.pool(row)
         way = None if pool.via is not None else self._directory.relay_to(row.name)
         if way != pool.via:
             pool.change_way(way)
@@ -139,7 +139,7 @@
             with trio.move_on_after(STATUS_TIMEOUT_S):
                 link = await self._dialer.open(row.entry)
                 link.close()
-                self._state.pool(row).change_way(None)
+                self._state.endpoints.pool(row).change_way(None)
                 self._state.log.change("way_changed", endpoint=row.name, via=None)
         except (ExchangeError, EndpointRefusedError) as error:
             self._state.log.event("direct_way_fails", endpoint=row.name, why=str(error))
@@ -158,7 +158,7 @@
             If it takes no connection.
         """
         started = trio.current_time()
-        pool = self._state.pool(row)
+        pool = self._state.endpoints.pool(row)
         kept = pool.has_idle
         with trio.move_on_after(STATUS_TIMEOUT_S):
             try:
@@ -177,7 +177,7 @@
 
     async def _ask(self, row: EndpointRow) -> EndpointStatus | None:
         started = trio.current_time()
-        connection = await self._state.pool(row).acquire(
+        connection = await self._state.endpoints.pool(row).acquire(
             PROBE_SESSION, PROBE_PRIORITY, STATUS_TIMEOUT_S
         )
         try:
@@ -194,12 +194,12 @@
         self._nursery.start_soon(self._demote, endpoint, term)
 
     async def _demote(self, endpoint: str, term: int) -> None:
-        row = self._state.rows.get(endpoint)
+        row = self._state.endpoints.rows.get(endpoint)
         if row is None or row.gone:
             return
         try:
             with trio.move_on_after(STATUS_TIMEOUT_S):
-                connection = await self._state.pool(row).acquire(
+                connection = await self._state.endpoints.pool(row).acquire(
                     PROBE_SESSION, PROBE_PRIORITY, STATUS_TIMEOUT_S
                 )
                 try:
--- /dev/null
+++ b/wharftiller/daemons/sessions/endpoint_table.py
@@ -0,0 +1,136 @@
+"""Every endpoint that was ever listed, and this box's connections to each."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import trio
+
+from wharftiller.core.sessions.endpoints import EndpointRow
+from wharftiller.daemons.sessions.connections.pool import EndpointPool
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+
+    from wharftiller.core.sessions.routes import EndpointEntry
+    from wharftiller.daemons.sessions.seams import EndpointDialer
+    from wharftiller.decisions import DecisionLog
+
+
+class EndpointTable:
+    """The endpoints that this box knows.
+
+    Parameters
+    ----------
+    changed : callable
+        Called whenever the list changes.
+
+    Attributes
+    ----------
+    rows, pools : dict
+        Every endpoint, and the connections to it, by name.
+    revision : int
+        The platform's revision of the list in force.
+    share_of_group : callable
+        How many connections to an endpoint of a group this box may keep; `Homes` sets it.
+    """
+
+    def __init__(
+        self, dialer: EndpointDialer, log: DecisionLog, changed: Callable[[], None]
+    ) -> None:
+        self._dialer = dialer
+        self._log = log
+        self._changed = changed
+        self.rows: dict[str, EndpointRow] = {}
+        self.pools: dict[str, EndpointPool] = {}
+        self.revision = 0
+        self.share_of_group: Callable[[str], int] = lambda group: 1
+
+    # The list -----------------------------------------------------------
+
+    def take(self, entries: Iterable[EndpointEntry], revision: int, *, told: bool = False) -> bool:
+        """Take in the whole list of registered endpoints as of the platform's ``revision``.
+
+        Parameters
+        ----------
+        told : bool
+            Whether another box told it; else this box read it.
+        """
+        if revision <= self.revision:
+            return False
+        listed = {entry.name: entry for entry in entries}
+        same = listed == {name: row.entry for name, row in self.rows.items() if row.is_listed}
+        if same and not told:
+            # Others would fetch all that this box knows for nothing: with 1,800 routes a
+            # reader of 20 boxes then answered none of them in time.
+            return False
+        # Where a box told the same list too: else it is asked for it in every round again
+        # (4 kB each; 0.8 times a second and box in a test of seven).
+        self.revision = revision
+        if same:
+            return False
+        for name, entry in listed.items():
+            self._take_entry(name, entry)
+        now = trio.current_time()
+        for name, row in self.rows.items():
+            if name not in listed and row.missing_since is None:
+                row.missing_since = now
+        self.expire(now)
+        self._changed()
+        return True
+
+    def expire(self, now: float) -> None:
+        """Give up the endpoints that have been missing from the list for long enough."""
+        for name, row in self.rows.items():
+            if not row.gone and row.is_taken_as_gone(now):
+                row.gone = True
+                row.leaving_since = row.leaving_since or row.missing_since or now
+                self._log.change("endpoint_gone", endpoint=name, group=row.entry.group)
+                self._changed()
+
+    def _take_entry(self, name: str, entry: EndpointEntry) -> None:
+        row = self.rows.get(name)
+        if row is None:
+            row = self.rows[name] = EndpointRow(entry)
+            self.pools[name] = EndpointPool(row, self._dialer, self._share_of(row))
+            self._log.change("endpoint_found", endpoint=name, group=entry.group, leads=entry.leads)
+        row.entry = entry
+        row.gone = False
+        row.missing_since = None
+        if entry.leaving and row.leaving_since is None:
+            row.leaving_since = trio.current_time()
+            self._log.change("endpoint_leaving", endpoint=name, group=entry.group)
+        elif not entry.leaving:
+            row.leaving_since = None
+
+    def _share_of(self, row: EndpointRow) -> Callable[[], int]:
+        def share() -> int:
+            return self.share_of_group(row.entry.group)
+
+        return share
+
+    # Looking up ---------------------------------------------------------
+
+    def of_group(self, group: str) -> list[EndpointRow]:
+        """Return the endpoints of ``group`` that are registered."""
+        return [row for row in self.rows.values() if row.entry.group == group and not row.gone]
+
+    def is_endpoint(self, address: str) -> bool:
+        """Return whether a registered endpoint listens at ``address``."""
+        return any(row.entry.address == address for row in self.rows.values() if not row.gone)
+
+    def pool(self, row: EndpointRow) -> EndpointPool:
+        """Return the connections to an endpoint."""
+        return self.pools[row.name]
+
+    def busy(self, group: str) -> dict[str, int]:
+        """Return this box's statements per endpoint of ``group``, running or waiting."""
+        return {row.name: self.pools[row.name].in_use for row in self.of_group(group)}
+
+    def way_to(self, row: EndpointRow) -> str | None:
+        """Return the address of a box through which ``row`` is reached, if one is known."""
+        return self.pools[row.name].via
+
+    def is_usable(self, row: EndpointRow) -> bool:
+        """Return whether a statement sent to ``row`` now is likely to be answered."""
+        return not row.is_suspect(trio.current_time()) or self.way_to(row) is not None
--- a/wharftiller/daemons/sessions/gauges.py
+++ b/wharftiller/daemons/sessions/gauges.py
@@ -22,7 +22,7 @@
     now = trio.current_time()
     yield _plain("configuration_version", "Version in force.", state.version)
     yield _plain(
-        "endpoints_revision", "Platform revision of the endpoints known.", state.endpoints_revision
+        "endpoints_revision", "Platform revision of the endpoints known.", state.endpoints.revision
     )
     yield _plain("sessions", "Callers' sessions open.", sessions)
     yield _plain(
@@ -57,7 +57,7 @@
             terms.append(((group,), float(lease.term)))
             remaining_s = lease.checked_at + LEASE_S - now if lease.valid(now) else 0.0
             left.append(((group,), remaining_s))
-        newest = state.points(group).newest
+        newest = state.positions.of_group(group).newest
         if newest is not None:
             ages.append(((group,), now - newest.at))
     yield Gauge("primary", "The primary believed in.", ("group", "endpoint", "state"), leaders)
@@ -68,10 +68,10 @@
 
 def _by_endpoint(state: SharedState, now: float) -> Iterator[Gauge]:
     open_, used, suspect, service = [], [], [], []
-    for name, row in state.rows.items():
+    for name, row in state.endpoints.rows.items():
         if row.gone:
             continue
-        pool = state.pools[name]
+        pool = state.endpoints.pools[name]
         open_.append(((name,), float(pool.total)))
         used.append(((name,), float(pool.in_use)))
         suspect.append(((name,), float(row.is_suspect(now))))
--- a/wharftiller/daemons/sessions/homes/homes.py
+++ b/wharftiller/daemons/sessions/homes/homes.py
@@ -30,7 +30,7 @@
         self._directory = directory
         self._avoided_until: dict[str, float] = {}
         self._ranked: dict[tuple[str, tuple[str, ...]], list[str]] = {}
-        state.share_of_group = self.share
+        state.endpoints.share_of_group = self.share
         state.serves_group = self.serves
 
     def plan(self, group: str) -> HomePlan:
--- a/wharftiller/daemons/sessions/leadership/changes.py
+++ b/wharftiller/daemons/sessions/leadership/changes.py
@@ -133,7 +133,7 @@
 
         async with trio.open_nursery() as nursery:
             for group, moving in record.moving.items():
-                row = self._state.rows.get(moving.old.endpoint)
+                row = self._state.endpoints.rows.get(moving.old.endpoint)
                 if row is not None and not moving.planned and not moving.ordered:
                     nursery.start_soon(ask, group, row)
         return answering
@@ -200,7 +200,7 @@
             "promotion_ordered", group=group, endpoint=moving.successor, fence=fence, ok=accepted
         )
         if not accepted:
-            row = self._state.rows.get(moving.successor)
+            row = self._state.endpoints.rows.get(moving.successor)
             if row is not None:
                 row.failed(trio.current_time())
             await trio.sleep(ASK_AGAIN_S)
--- a/wharftiller/daemons/sessions/leadership/mover.py
+++ b/wharftiller/daemons/sessions/leadership/mover.py
@@ -141,7 +141,7 @@
         await self._writer.write(attrs.evolve(record, groups={**record.groups, **groups}))
 
     def _told_leaders(self, group: str) -> list[str]:
-        return [row.name for row in self._state.rows_of(group) if row.entry.leads]
+        return [row.name for row in self._state.endpoints.of_group(group) if row.entry.leads]
 
     # Starting a change --------------------------------------------------
 
@@ -163,7 +163,7 @@
     async def _change_needed(self, group: str, leading: Leading) -> Moving | None:
         """Return the change that ``group`` needs, if it is this box's turn to start one."""
         now = trio.current_time()
-        row = self._state.rows.get(leading.endpoint)
+        row = self._state.endpoints.rows.get(leading.endpoint)
         turn = self._turn(group)
         planned = row is not None and must_leave(row, turn, now)
         if planned:
@@ -198,7 +198,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(ask_boxes)
             candidates = await self._successors.candidates(group, old)
-        row = self._state.rows.get(old)
+        row = self._state.endpoints.rows.get(old)
         all_answer = self._directory.boxes.keys() <= self._directory.replies.keys()
         if heard or not is_lost(row, turn, trio.current_time(), all_answer=all_answer):
             return None
--- a/wharftiller/daemons/sessions/leadership/stopping.py
+++ b/wharftiller/daemons/sessions/leadership/stopping.py
@@ -100,7 +100,7 @@
         """Return the groups whose lost primary answers again and may still go on leading."""
         answering = []
         for group, moving in record.moving.items():
-            row = self._state.rows.get(moving.old.endpoint)
+            row = self._state.endpoints.rows.get(moving.old.endpoint)
             if moving.planned or moving.ordered or row is None:
                 continue
             if row.heard_at > won_at:
--- a/wharftiller/daemons/sessions/leadership/successors.py
+++ b/wharftiller/daemons/sessions/leadership/successors.py
@@ -56,7 +56,7 @@
                 found.append(Candidate(row.name, status.received, row.entry.data_centre))
 
         async with trio.open_nursery() as nursery:
-            for row in self._state.rows_of(group):
+            for row in self._state.endpoints.of_group(group):
                 if row.name != old and row.leaving_since is None:
                     nursery.start_soon(ask, row)
         return found
@@ -80,7 +80,7 @@
         To be asked once every box has stopped using ``old``. An acknowledged write is on
         some replica, which one is not known: all of them must answer.
         """
-        replicas = [row for row in self._state.rows_of(group) if row.name != old]
+        replicas = [row for row in self._state.endpoints.of_group(group) if row.name != old]
         found = await self._ask_replicas(group, old)
         best = best_candidate(found)
         silent = {row.name for row in replicas} - {each.name for each in found}
@@ -97,8 +97,8 @@
         bool
             Whether it has.
         """
-        old = self._state.rows.get(moving.old.endpoint)
-        new = self._state.rows.get(moving.successor)
+        old = self._state.endpoints.rows.get(moving.old.endpoint)
+        new = self._state.endpoints.rows.get(moving.successor)
         if old is None or new is None:
             return False
         with trio.move_on_after(CATCH_UP_S):
@@ -121,7 +121,7 @@
 
     async def leading(self, moving: Moving) -> Leading | None:
         """Return the successor with its term once it says that it leads."""
-        row = self._state.rows.get(moving.successor)
+        row = self._state.endpoints.rows.get(moving.successor)
         with trio.move_on_after(LEADS_WITHIN_S):
             while row is not None and not row.gone:
                 status = await self.status(row)
--- a/wharftiller/daemons/sessions/membership/box_server.py
+++ b/wharftiller/daemons/sessions/membership/box_server.py
@@ -107,8 +107,8 @@
             "revision": record.revision,
             "record": record_to_json(record) if newer else None,
             "version": state.version,
-            "endpoints_revision": state.endpoints_revision,
-            "points": state.told_points(),
+            "endpoints_revision": state.endpoints.revision,
+            "points": state.positions.told(),
             "hears": self._heard(),
         }
 
@@ -126,13 +126,15 @@
         """Return the primaries that answered lately, and not through another box."""
         now = trio.current_time()
         leads = [self._state.lead(group) for group in self._state.leases.record.groups]
-        rows = [self._state.rows[lead] for lead in leads if lead in self._state.rows]
+        rows = [
+            self._state.endpoints.rows[lead] for lead in leads if lead in self._state.endpoints.rows
+        ]
         return [
             row.name
             for row in rows
             if row.unreachable_since is None
             and now - row.heard_at < HEARD_RECENT_S
-            and self._state.way_to(row) is None
+            and self._state.endpoints.way_to(row) is None
         ]
 
     def _adopt(self, value: Any) -> None:
@@ -170,5 +172,5 @@
     async def _quiet(self, group: str) -> None:
         """Wait until this box's writes in ``group`` have ended, for some time at most."""
         with trio.move_on_after(QUIET_WAIT_S):
-            while not self._state.is_quiet(group):
+            while not self._state.work.is_quiet(group):
                 await self._state.leadership_changed()
--- a/wharftiller/daemons/sessions/membership/boxes.py
+++ b/wharftiller/daemons/sessions/membership/boxes.py
@@ -235,7 +235,7 @@
             record = self._state.leases.record
             if value["record"] is not None:
                 record = record_from_json(value["record"], value["revision"])
-            self._state.take_points(value["points"], asked_at)
+            self._state.positions.take(value["points"], asked_at)
             answer = RoundAnswer(box.name, bool(value["read"]), record)
             hears = frozenset(map(str, value["hears"]))
             read_at = asked_at - int(value["read_age_ms"]) / 1000
--- a/wharftiller/daemons/sessions/membership/isolation.py
+++ b/wharftiller/daemons/sessions/membership/isolation.py
@@ -94,7 +94,7 @@
         """Return the other data centres where ``unusable`` primaries stand, by group."""
         centres = {}
         for group in unusable:
-            row = self._state.rows.get(self._state.lead(group) or "")
+            row = self._state.endpoints.rows.get(self._state.lead(group) or "")
             if row is not None and row.entry.data_centre != self._state.data_centre:
                 centres[group] = row.entry.data_centre
         return centres
--- a/wharftiller/daemons/sessions/membership/neighbours.py
+++ b/wharftiller/daemons/sessions/membership/neighbours.py
@@ -48,10 +48,10 @@
 
     def known(self) -> dict[str, Any]:
         """Return what a starting box may learn from this one, as JSON."""
-        rows = self._state.rows.values()
+        rows = self._state.endpoints.rows.values()
         return {
             "configuration": self._state.configuration.document,
-            "endpoints_revision": self._state.endpoints_revision,
+            "endpoints_revision": self._state.endpoints.revision,
             "endpoints": [attrs.asdict(row.entry) for row in rows if not row.gone],
             "boxes": self._directory.told_boxes(),
         }
@@ -59,7 +59,7 @@
     async def learn_at_start(self) -> None:
         """Ask the seeds while this box knows no configuration, as when the platform is away."""
         await trio.sleep(LEARN_AGAIN_S)
-        while self._state.version == 0 or not self._state.rows:
+        while self._state.version == 0 or not self._state.endpoints.rows:
             for address in self._seeds:
                 await self.learn_from(address)
             await trio.sleep(LEARN_AGAIN_S)
@@ -78,7 +78,7 @@
             self._state.log.event("neighbour_not_understood", other=address, why=repr(error))
             return
         self._state.take_configuration(configuration, f"box {address}")
-        self._state.take_endpoints(entries, revision, told=True)
+        self._state.endpoints.take(entries, revision, told=True)
         if not self._directory.boxes:
             self._directory.take_list({b.name: b for b in boxes if b.name != self._state.box})
 
@@ -87,7 +87,7 @@
         state = self._state
         for name, reply in self._directory.replies.items():
             newer = reply.version > state.version
-            if newer or reply.endpoints_revision > state.endpoints_revision:
+            if newer or reply.endpoints_revision > state.endpoints.revision:
                 box = self._directory.boxes.get(name)
                 if box is not None:
                     self._nursery.start_soon(self.learn_from, box.address)
--- a/wharftiller/daemons/sessions/membership/readers.py
+++ b/wharftiller/daemons/sessions/membership/readers.py
@@ -97,8 +97,8 @@
             "list_revision": self._last.list_revision,
             "boxes": None,
             "version": self._state.version,
-            "endpoints_revision": self._state.endpoints_revision,
-            "points": self._state.told_points(),
+            "endpoints_revision": self._state.endpoints.revision,
+            "points": self._state.positions.told(),
         }
         if listing.record.revision > revision:
             told["record"] = record_to_json(listing.record)
@@ -194,8 +194,8 @@
                 self._boxes = {each["name"]: Box(**each) for each in value["boxes"]}
                 self._list_revision = int(value["list_revision"])
             newer = value["version"] > self._state.version
-            newer |= value["endpoints_revision"] > self._state.endpoints_revision
-            self._state.take_points(value["points"], asked_at)
+            newer |= value["endpoints_revision"] > self._state.endpoints.revision
+            self._state.positions.take(value["points"], asked_at)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise BadRequestError(
                 f"{reader.name} told nonsense: {error!r}; run one version"
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -136,7 +136,7 @@
             self._for_others,
             self._links,
         )
-        self.relay = RelayServer(transport, self.state.is_endpoint)
+        self.relay = RelayServer(transport, self.state.endpoints.is_endpoint)
         self._mover = PrimaryMover(
             self.state,
             self._directory,
@@ -173,7 +173,7 @@
         if self._unready or self._isolation.is_isolated:
             return False
         knows_boxes = self._directory.listed_since is not None or bool(self._directory.boxes)
-        return self.state.version > 0 and bool(self.state.rows) and knows_boxes
+        return self.state.version > 0 and bool(self.state.endpoints.rows) and knows_boxes
 
     def start(self) -> None:
         """Start every task."""
@@ -216,8 +216,8 @@
         while True:
             await trio.sleep(MAINTENANCE_S)
             now = trio.current_time()
-            self.state.expire_endpoints(now)
-            for pool in self.state.pools.values():
+            self.state.endpoints.expire(now)
+            for pool in self.state.endpoints.pools.values():
                 pool.trim(now)
 
     async def stop(self) -> None:
--- a/wharftiller/daemons/sessions/serving/choice.py
+++ b/wharftiller/daemons/sessions/serving/choice.py
@@ -54,7 +54,9 @@
             If the read needs a primary and none can be used.
         """
         route = routed.route
-        need = need_of_read(route, routed.session, self._state.points(route.group), begun_at)
+        need = need_of_read(
+            route, routed.session, self._state.positions.of_group(route.group), begun_at
+        )
         if isinstance(need, AnyReplica):
             row = self._replica(route, need, tried)
             if row is not None:
@@ -66,11 +68,11 @@
         state = self._state
         now = trio.current_time()
         ordered = replica_order(
-            state.rows_of(route.group),
+            state.endpoints.of_group(route.group),
             need.position,
             state.lead(route.group),
             state.data_centre,
-            state.busy(route.group),
+            state.endpoints.busy(route.group),
             now,
         )
         return next((row for row in ordered if row.name not in tried), None)
@@ -79,11 +81,15 @@
         """Return whether an endpoint besides those in ``tried`` is likely to run a read now."""
         state = self._state
         route = routed.route
-        need = need_of_read(route, routed.session, state.points(route.group), routed.arrived_at)
+        need = need_of_read(
+            route, routed.session, state.positions.of_group(route.group), routed.arrived_at
+        )
         if isinstance(need, AnyReplica) and self._replica(route, need, tried) is not None:
             return True
         primary = state.startable(route.group)
-        return primary is not None and primary.name not in tried and state.is_usable(primary)
+        return (
+            primary is not None and primary.name not in tried and state.endpoints.is_usable(primary)
+        )
 
     async def primary(self, routed: RoutedStatement) -> EndpointRow:
         """Return the primary, waiting a little for one while it is being replaced.
@@ -99,7 +105,7 @@
         with trio.move_on_at(hold_until):
             while True:
                 row = state.startable(group)
-                if row is not None and state.is_usable(row):
+                if row is not None and state.endpoints.is_usable(row):
                     return row
                 if not state.primary_expected(group):
                     break
@@ -119,7 +125,7 @@
         """
         try:
             route = routed.route
-            return await self._state.pool(row).acquire(
+            return await self._state.endpoints.pool(row).acquire(
                 routed.session, route.priority, route.latency_goal_s
             )
         except EndpointRefusedError as error:
--- a/wharftiller/daemons/sessions/serving/notes.py
+++ b/wharftiller/daemons/sessions/serving/notes.py
@@ -87,8 +87,8 @@
     now = trio.current_time()
     lead = state.lead(route.group)
     lease = state.leases.last_lease(route.group)
-    newest = state.points(route.group).newest
-    row = state.rows.get(lead or "")
+    newest = state.positions.of_group(route.group).newest
+    row = state.endpoints.rows.get(lead or "")
     silent_since = row.unreachable_since if row is not None else None
     return {
         "version": state.version,
--- a/wharftiller/daemons/sessions/serving/singles.py
+++ b/wharftiller/daemons/sessions/serving/singles.py
@@ -63,7 +63,7 @@
 
     async def _write(self, routed: RoutedStatement) -> Reply:
         group = routed.route.group
-        self._state.write_began(group)
+        self._state.work.write_began(group)
         try:
             for _ in range(BUSY_TRIES):
                 row = await self._chooser.primary(routed)
@@ -79,7 +79,7 @@
                 RefusalKind.NO_CAPACITY, detail, Cause.ENDPOINT_REFUSED, BUSY_PAUSE_S
             )
         finally:
-            self._state.write_ended(group)
+            self._state.work.write_ended(group)
 
     async def _write_once(self, routed: RoutedStatement, row: EndpointRow) -> Reply:
         """Return the primary's answer.
--- a/wharftiller/daemons/sessions/serving/transactions.py
+++ b/wharftiller/daemons/sessions/serving/transactions.py
@@ -63,7 +63,7 @@
         """Let a planned change of primary wait for ``transaction`` no longer."""
         if transaction.counted:
             transaction.counted = False
-            self._state.transaction_ended(transaction.route.group)
+            self._state.work.transaction_ended(transaction.route.group)
 
     def fail(self, session: Session) -> None:
         """Give up the open transaction's connection; the caller is told at its next statement."""
@@ -124,7 +124,7 @@
                     transaction.connection = connection
                     if not transaction.read_only:
                         transaction.counted = True
-                        self._state.transaction_began(transaction.route.group)
+                        self._state.work.transaction_began(transaction.route.group)
                     return
                 connection.release(reply.state)
                 self._state.learn_refusal(row, reply.refusal, after)
--- a/wharftiller/daemons/sessions/state.py
+++ b/wharftiller/daemons/sessions/state.py
@@ -1,28 +1,27 @@
-"""What all tasks of a session proxy share: endpoints, pools, leases, fresh points."""
+"""What all tasks of a session proxy share: configuration, endpoints, leases, positions, work."""
 
 from __future__ import annotations
 
-import collections
 import math
 from typing import TYPE_CHECKING
 
-import attrs
 import trio
 
-from wharftiller.core.freshness import FreshPoint, FreshPoints
 from wharftiller.core.leadership.lease import LEASE_S, LeaseTable
 from wharftiller.core.leadership.record import Leading, Moving
-from wharftiller.core.positions import LogPosition
 from wharftiller.core.sessions.come_back import PrimaryOutlook
-from wharftiller.core.sessions.endpoints import EndpointRow
 from wharftiller.core.sessions.figures import Figures
-from wharftiller.core.sessions.routes import EndpointEntry, SessionConfiguration
+from wharftiller.core.sessions.routes import SessionConfiguration
 from wharftiller.core.sessions.statements import EndpointQuery, RefusalKind, Rollback
-from wharftiller.daemons.sessions.connections.pool import EndpointPool
+from wharftiller.daemons.sessions.endpoint_table import EndpointTable
+from wharftiller.daemons.sessions.primary_positions import PrimaryPositions
+from wharftiller.daemons.sessions.work_under_way import WorkUnderWay
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable
 
+    from wharftiller.core.positions import LogPosition
+    from wharftiller.core.sessions.endpoints import EndpointRow
     from wharftiller.core.sessions.statements import Refusal
     from wharftiller.daemons.sessions.connections.pooled_connection import PooledConnection
     from wharftiller.daemons.sessions.seams import EndpointDialer
@@ -50,14 +49,6 @@
 """How long after a change was recorded, or a lease ran out, the next is expected, in seconds."""
 
 
-@attrs.define
-class _GroupActivity:
-    """Writes and writing transactions of this box that are under way in a group."""
-
-    writes: int = 0
-    transactions: int = 0
-
-
 class SharedState:
     """The state of one session proxy.
 
@@ -70,15 +61,10 @@
 
     Attributes
     ----------
-    endpoints_revision : int
-        The platform's revision of the list of endpoints in force.
-    rows, pools : dict
-        Every endpoint ever listed, and the connections to it, by name.
     check_soon : trio.Event
         Set to have the leases checked without waiting for the next time.
-    share_of_group, serves_group : callable
-        How many connections to an endpoint of a group this box may keep, and whether it
-        runs the group's statements by itself; `Homes` sets both.
+    serves_group : callable
+        Whether this box runs a group's statements by itself; `Homes` sets it.
     change_s : float
         How long changes of primary took lately, from the first record to the last, in seconds.
     told_usable : dict of str to bool
@@ -94,10 +80,7 @@
         log: DecisionLog,
         nursery: trio.Nursery,
     ) -> None:
-        self._dialer = dialer
         self._nursery = nursery
-        self._points: dict[str, tuple[str, FreshPoints]] = {}
-        self._activity: dict[str, _GroupActivity] = collections.defaultdict(_GroupActivity)
         self._changed = trio.Event()
         self._record_seen = 0
         self._record_at = -math.inf
@@ -107,18 +90,17 @@
         self.data_centre = data_centre
         self.log = log
         self.configuration = SessionConfiguration()
-        self.endpoints_revision = 0
         self.leases = LeaseTable()
-        self.rows: dict[str, EndpointRow] = {}
-        self.pools: dict[str, EndpointPool] = {}
+        self.endpoints = EndpointTable(dialer, log, self.wake)
+        self.positions = PrimaryPositions(self.leases)
+        self.work = WorkUnderWay(self.wake)
         self.check_soon = trio.Event()
-        self.share_of_group: Callable[[str], int] = lambda group: 1
         self.serves_group: Callable[[str], bool] = lambda group: True
         self.told_usable: dict[str, bool] = {}
         self.figures = Figures()
         log.counts = self.figures.events
 
-    # Configuration and endpoints ----------------------------------------
+    # Configuration ------------------------------------------------------
 
     @property
     def version(self) -> int:
@@ -136,102 +118,16 @@
         self.wake()
         return True
 
-    def take_endpoints(
-        self, entries: Iterable[EndpointEntry], revision: int, *, told: bool = False
-    ) -> bool:
-        """Take in the whole list of registered endpoints as of the platform's ``revision``.
-
-        Parameters
-        ----------
-        told : bool
-            Whether another box told it; else this box read it.
-        """
-        if revision <= self.endpoints_revision:
-            return False
-        listed = {entry.name: entry for entry in entries}
-        same = listed == {name: row.entry for name, row in self.rows.items() if row.is_listed}
-        if same and not told:
-            # Others would fetch all that this box knows for nothing: with 1,800 routes a
-            # reader of 20 boxes then answered none of them in time.
-            return False
-        # Where a box told the same list too: else it is asked for it in every round again
-        # (4 kB each; 0.8 times a second and box in a test of seven).
-        self.endpoints_revision = revision
-        if same:
-            return False
-        for name, entry in listed.items():
-            self._take_entry(name, entry)
-        now = trio.current_time()
-        for name, row in self.rows.items():
-            if name not in listed and row.missing_since is None:
-                row.missing_since = now
-        self.expire_endpoints(now)
-        self.wake()
-        return True
-
-    def expire_endpoints(self, now: float) -> None:
-        """Give up the endpoints that have been missing from the list for long enough."""
-        for name, row in self.rows.items():
-            if not row.gone and row.is_taken_as_gone(now):
-                row.gone = True
-                row.leaving_since = row.leaving_since or row.missing_since or now
-                self.log.change("endpoint_gone", endpoint=name, group=row.entry.group)
-                self.wake()
-
-    def _take_entry(self, name: str, entry: EndpointEntry) -> None:
-        row = self.rows.get(name)
-        if row is None:
-            row = self.rows[name] = EndpointRow(entry)
-            share = self._share_of(row)
-            self.pools[name] = EndpointPool(row, self._dialer, share)
-            self.log.change("endpoint_found", endpoint=name, group=entry.group, leads=entry.leads)
-        row.entry = entry
-        row.gone = False
-        row.missing_since = None
-        if entry.leaving and row.leaving_since is None:
-            row.leaving_since = trio.current_time()
-            self.log.change("endpoint_leaving", endpoint=name, group=entry.group)
-        elif not entry.leaving:
-            row.leaving_since = None
-
-    def _share_of(self, row: EndpointRow) -> Callable[[], int]:
-        def share() -> int:
-            return self.share_of_group(row.entry.group)
-
-        return share
-
-    def rows_of(self, group: str) -> list[EndpointRow]:
-        """Return the endpoints of ``group`` that are registered."""
-        return [row for row in self.rows.values() if row.entry.group == group and not row.gone]
-
-    def is_endpoint(self, address: str) -> bool:
-        """Return whether a registered endpoint listens at ``address``."""
-        return any(row.entry.address == address for row in self.rows.values() if not row.gone)
-
-    def pool(self, row: EndpointRow) -> EndpointPool:
-        """Return the connections to an endpoint."""
-        return self.pools[row.name]
-
-    def busy(self, group: str) -> dict[str, int]:
-        """Return this box's statements per endpoint of ``group``, running or waiting."""
-        return {row.name: self.pools[row.name].in_use for row in self.rows_of(group)}
-
     # Leadership ---------------------------------------------------------
 
     def lead(self, group: str) -> str | None:
         """Return the primary that the record names, even while it is being replaced."""
-        match self.leases.record.groups.get(group):
-            case Leading(endpoint):
-                return endpoint
-            case Moving(old):
-                return old.endpoint
-            case _:
-                return None
+        return self.leases.record.lead(group)
 
     def startable(self, group: str) -> EndpointRow | None:
         """Return the primary that new writes and primary reads may be sent to now."""
         lease = self.leases.may_start(group, trio.current_time())
-        row = self.rows.get(lease.endpoint) if lease is not None else None
+        row = self.endpoints.rows.get(lease.endpoint) if lease is not None else None
         if row is None or not row.may_still_lead(trio.current_time()):
             return None
         return row
@@ -262,7 +158,7 @@
                 # Decided within moments, or else a silent box's lease is waited for.
                 return now - self._record_at < RECORD_EXPECTED_S
             case Leading(endpoint):
-                row = self.rows.get(endpoint)
+                row = self.endpoints.rows.get(endpoint)
                 if row is not None and row.unreachable_since is not None:
                     return now - row.unreachable_since < PRIMARY_EXPECTED_S
                 lease = self.leases.last_lease(group)
@@ -277,8 +173,8 @@
             case Moving(planned=planned, ordered=ordered):
                 since = self._record_at if self._changing_since is None else self._changing_since
                 return PrimaryOutlook(now - since, planned or ordered)
-            case Leading(endpoint) if endpoint in self.rows:
-                silent_at = self.rows[endpoint].unreachable_since
+            case Leading(endpoint) if endpoint in self.endpoints.rows:
+                silent_at = self.endpoints.rows[endpoint].unreachable_since
                 return PrimaryOutlook(silent_s=None if silent_at is None else now - silent_at)
             case _:
                 return PrimaryOutlook()
@@ -293,14 +189,6 @@
             self.change_s += CHANGE_WEIGHT * (took_s - self.change_s)
             self._changing_since = None
 
-    def is_usable(self, row: EndpointRow) -> bool:
-        """Return whether a statement sent to ``row`` now is likely to be answered."""
-        return not row.is_suspect(trio.current_time()) or self.way_to(row) is not None
-
-    def way_to(self, row: EndpointRow) -> str | None:
-        """Return the address of a box through which ``row`` is reached, if one is known."""
-        return self.pools[row.name].via
-
     async def leadership_changed(self) -> None:
         """Wait until something about endpoints, leases or the configuration changes."""
         await self._changed.wait()
@@ -314,41 +202,13 @@
         self._changed.set()
         self._changed = trio.Event()
 
-    # Fresh points -------------------------------------------------------
-
-    def points(self, group: str) -> FreshPoints:
-        """Return the log positions known of ``group``'s present primary."""
-        lead = self.lead(group) or ""
-        known = self._points.get(group)
-        if known is None or known[0] != lead:
-            known = self._points[group] = (lead, FreshPoints())
-        return known[1]
+    # What answers tell --------------------------------------------------
 
     def learn_point(self, row: EndpointRow, position: LogPosition | None, asked_at: float) -> None:
         """Note the primary's log position in an answer to what was asked at ``asked_at``."""
         self.figures.statements[row.name, "done"] += 1
         if position is not None and self.may_acknowledge(row):
-            self.points(row.entry.group).add(FreshPoint(asked_at, position))
-
-    def told_points(self) -> dict[str, tuple[str, int, int, int]]:
-        """Return each primary's newest known log position, with its age, for another box."""
-        now = trio.current_time()
-        told = {}
-        for group, state in self.leases.record.groups.items():
-            newest = self.points(group).newest
-            if isinstance(state, Leading) and newest is not None:
-                position = newest.position
-                age_ms = int((now - newest.at) * 1000) + 1
-                told[group] = (state.endpoint, position.term, position.index, age_ms)
-        return told
-
-    def take_points(self, told: dict[str, tuple[str, int, int, int]], asked_at: float) -> None:
-        """Take in the log positions that another box told when asked at ``asked_at``."""
-        for group, (lead, term, index, age_ms) in told.items():
-            if lead == self.lead(group):
-                # The age counts back from the answer, which came after the question.
-                at = asked_at - age_ms / 1000
-                self.points(group).add(FreshPoint(at, LogPosition(term, index)))
+            self.positions.learn(row.entry.group, position, asked_at)
 
     def learn_refusal(self, row: EndpointRow, refusal: Refusal, after: LogPosition | None) -> None:
         """Note what an endpoint's refusal tells of it."""
@@ -361,31 +221,6 @@
             case _:
                 pass
 
-    # Work under way -----------------------------------------------------
-
-    def transaction_began(self, group: str) -> None:
-        """Count a transaction that may write and is open on the primary."""
-        self._activity[group].transactions += 1
-
-    def transaction_ended(self, group: str) -> None:
-        """Count a transaction's end."""
-        self._activity[group].transactions -= 1
-        self.wake()
-
-    def write_began(self, group: str) -> None:
-        """Count a single write of this box."""
-        self._activity[group].writes += 1
-
-    def write_ended(self, group: str) -> None:
-        """Count a single write's end."""
-        self._activity[group].writes -= 1
-        self.wake()
-
-    def is_quiet(self, group: str) -> bool:
-        """Return whether no write or transaction of this box is under way in ``group``."""
-        activity = self._activity[group]
-        return activity.writes == 0 and activity.transactions == 0
-
     def roll_back(self, connection: PooledConnection) -> None:
         """Roll back in the background, then give the connection back."""
         self._nursery.start_soon(self._roll_back, connection)
--- a/wharftiller/platform/feeds.py
+++ b/wharftiller/platform/feeds.py
@@ -187,4 +187,4 @@
 
     def _take_endpoints(self, objects: Objects, revision: int) -> bool:
         entries = decode_endpoints(objects, self._bounds, self._log)
-        return self._state.take_endpoints(entries, revision)
+        return self._state.endpoints.take(entries, revision)
--- a/wharftiller/tests/platform/test_whole_path.py
+++ b/wharftiller/tests/platform/test_whole_path.py
@@ -218,7 +218,7 @@
             for caller in resting:
                 await caller.ask("BEGIN")
                 await caller.ask("WRITE seat1 anna")
-            pool = box.process.proxy.state.pools["seats-0"]  # type: ignore[union-attr]
+            pool = box.process.proxy.state.endpoints.pools["seats-0"]  # type: ignore[union-attr]
             for _ in range(6):
                 pool.note_busy()
                 await trio.sleep(0.2)
@@ -235,7 +235,7 @@
             box = world.boxes["box-1"]
             callers = [await world.call(box, "primary") for _ in range(4)]
             group.primary.busy_answers = 3
-            pool = box.process.proxy.state.pools["seats-0"]  # type: ignore[union-attr]
+            pool = box.process.proxy.state.endpoints.pools["seats-0"]  # type: ignore[union-attr]
             async with trio.open_nursery() as nursery:
                 for caller in callers:
                     nursery.start_soon(caller.ask, "READ seat1")
@@ -250,7 +250,7 @@
         async def story(world: World) -> None:
             world.groups[0].work_s = 0.2
             box = world.boxes["box-1"]
-            pool = box.process.proxy.state.pools["seats-0"]  # type: ignore[union-attr]
+            pool = box.process.proxy.state.endpoints.pools["seats-0"]  # type: ignore[union-attr]
             callers = [await world.call(box, "primary") for _ in range(12)]
             took_s: dict[bool, list[float]] = {True: [], False: []}
 
@@ -299,11 +299,11 @@
     def test_a_list_read_anew_and_unchanged_makes_nobody_fetch(self) -> None:
         async def story(world: World) -> None:
             proxies = [box.process.proxy for box in world.boxes.values()]
-            before = [proxy.state.endpoints_revision for proxy in proxies if proxy is not None]
+            before = [proxy.state.endpoints.revision for proxy in proxies if proxy is not None]
             # Raises the platform's revision; the watch on endpoints tells nothing of it.
             world.store.set("config", "main", {**world.store.spec("config", "main"), "Version": 9})
             await trio.sleep(10)
-            after = [proxy.state.endpoints_revision for proxy in proxies if proxy is not None]
+            after = [proxy.state.endpoints.revision for proxy in proxies if proxy is not None]
             assert after == before
 
         run_in_world(story, boxes=3)
@@ -392,7 +392,7 @@
             await trio.sleep(5)
             for box in world.boxes.values():
                 assert box.process.proxy is not None
-                rows = box.process.proxy.state.rows_of("seats")
+                rows = box.process.proxy.state.endpoints.of_group("seats")
                 assert [row.unreachable_since for row in rows] == [None] * 3
             assert world.groups[0].promotions == []
 
