--- a/wharftiller/daemons/sessions/leadership/mover.py
+++ b/wharftiller/daemons/sessions/leadership/mover.py
@@ -18,21 +18,15 @@
     turn_of,
 )
 from wharftiller.core.leadership.record import Leading, Moving
-from wharftiller.daemons.sessions.leadership.changes import ChangeRunner
-from wharftiller.daemons.sessions.leadership.record_writer import RecordWriter
-from wharftiller.daemons.sessions.leadership.stopping import BoxStopper
-from wharftiller.daemons.sessions.leadership.successors import Successors
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from wharftiller.core.leadership.moves import Candidate
     from wharftiller.core.leadership.record import LeadershipRecord
-    from wharftiller.daemons.sessions.connections.probes import Prober
     from wharftiller.daemons.sessions.homes.homes import Homes
-    from wharftiller.daemons.sessions.membership.box_server import BoxServer
+    from wharftiller.daemons.sessions.leadership.changes import ChangeRunner
+    from wharftiller.daemons.sessions.leadership.record_writer import RecordWriter
+    from wharftiller.daemons.sessions.leadership.successors import Successors
     from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
-    from wharftiller.daemons.sessions.seams import Promotions, SharedListing, SharedObjects
     from wharftiller.daemons.sessions.state import SharedState
 
 LOOK_S = 0.15
@@ -63,35 +57,23 @@
 
 
 class PrimaryMover:
-    """Watches the primaries and replaces those that are lost or leaving.
-
-    Parameters
-    ----------
-    incarnation : str
-        Id of this process; the record's holder.
-    """
+    """Watches the primaries and replaces those that are lost or leaving."""
 
     def __init__(
         self,
         state: SharedState,
         directory: BoxDirectory,
-        server: BoxServer,
-        store: SharedObjects,
-        promotions: Promotions,
-        prober: Prober,
-        incarnation: str,
         homes: Homes,
-        take_listing: Callable[[SharedListing, float], bool],
+        writer: RecordWriter,
+        successors: Successors,
+        runner: ChangeRunner,
     ) -> None:
         self._state = state
         self._directory = directory
         self._homes = homes
-        self._writer = RecordWriter(state, store, incarnation)
-        self._successors = Successors(state, prober)
-        stopper = BoxStopper(state, directory, server, store, take_listing)
-        self._runner = ChangeRunner(
-            state, directory, self._writer, stopper, self._successors, promotions, prober
-        )
+        self._writer = writer
+        self._successors = successors
+        self._runner = runner
         self._seen: _Seen | None = None
         self._started_at = trio.current_time()
 
--- a/wharftiller/daemons/sessions/leadership/stopping.py
+++ b/wharftiller/daemons/sessions/leadership/stopping.py
@@ -10,12 +10,11 @@
 from wharftiller.core.leadership.lease import LEASE_S, LISTING_S
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from wharftiller.core.leadership.record import LeadershipRecord
     from wharftiller.daemons.sessions.membership.box_server import BoxServer
     from wharftiller.daemons.sessions.membership.boxes import Box, BoxDirectory
-    from wharftiller.daemons.sessions.seams import SharedListing, SharedObjects
+    from wharftiller.daemons.sessions.membership.listings import Listings
+    from wharftiller.daemons.sessions.seams import SharedObjects
     from wharftiller.daemons.sessions.state import SharedState
 
 WORDS_AGAIN_S = 0.2
@@ -29,14 +28,7 @@
 
 
 class BoxStopper:
-    """Has this box and every other one stop.
-
-    Parameters
-    ----------
-    take_listing : callable
-        Takes in a read of what boxes share, asked for at a time in seconds; returns
-        whether this process stands in it.
-    """
+    """Has this box and every other one stop."""
 
     def __init__(
         self,
@@ -44,13 +36,13 @@
         directory: BoxDirectory,
         server: BoxServer,
         store: SharedObjects,
-        take_listing: Callable[[SharedListing, float], bool],
+        listings: Listings,
     ) -> None:
         self._state = state
         self._directory = directory
         self._server = server
         self._store = store
-        self._take_listing = take_listing
+        self._listings = listings
 
     async def everyone_stopped(self, record: LeadershipRecord, won_at: float) -> list[str]:
         """Return once no box uses an old primary; the groups whose lost one answers again."""
@@ -94,7 +86,7 @@
         except PlatformUnavailableError as error:
             self._state.log.event("boxes_not_listed", why=str(error))
             return False
-        return self._take_listing(listing, asked_at)
+        return self._listings.take(listing, asked_at)
 
     def _answering_again(self, record: LeadershipRecord, won_at: float) -> list[str]:
         """Return the groups whose lost primary answers again and may still go on leading."""
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -18,7 +18,11 @@
 from wharftiller.daemons.sessions.homes.forwarding import Forwarder
 from wharftiller.daemons.sessions.homes.home_links import HomeLinks
 from wharftiller.daemons.sessions.homes.homes import Homes
+from wharftiller.daemons.sessions.leadership.changes import ChangeRunner
 from wharftiller.daemons.sessions.leadership.mover import PrimaryMover
+from wharftiller.daemons.sessions.leadership.record_writer import RecordWriter
+from wharftiller.daemons.sessions.leadership.stopping import BoxStopper
+from wharftiller.daemons.sessions.leadership.successors import Successors
 from wharftiller.daemons.sessions.membership.box_server import BoxServer
 from wharftiller.daemons.sessions.membership.boxes import Box, BoxDirectory
 from wharftiller.daemons.sessions.membership.isolation import IsolationWatch
@@ -137,16 +141,14 @@
             self._links,
         )
         self.relay = RelayServer(transport, self.state.endpoints.is_endpoint)
+        writer = RecordWriter(self.state, shared, incarnation)
+        successors = Successors(self.state, self._prober)
+        stopper = BoxStopper(self.state, self._directory, self._box_server, shared, listings)
+        changes = ChangeRunner(
+            self.state, self._directory, writer, stopper, successors, promotions, self._prober
+        )
         self._mover = PrimaryMover(
-            self.state,
-            self._directory,
-            self._box_server,
-            shared,
-            promotions,
-            self._prober,
-            incarnation,
-            self._homes,
-            listings.take,
+            self.state, self._directory, self._homes, writer, successors, changes
         )
         self._isolation = IsolationWatch(self.state, self._directory, self.sessions)
         self._feeds = feeds(self.state, self._missed_change_found)
