Say what each limit follows from, not which deployments were seen

Comments only; the values stay. Where a value is a trade (the lease, the age of the list) it says between what; where it waits for one lost packet, that.

--- a/wharftiller/core/leadership/lease.py
+++ b/wharftiller/core/leadership/lease.py
@@ -27,16 +27,18 @@
 LEASE_S = 6.0
 """How long a check counts, in seconds.
 
-As long as most cuts that were seen (4 to 7 s): boxes on the primary's side of one go on
-writing until it heals. It is the longest wait of a change of primary that a silent box
-causes; longer ones outlast the time for which a leaving primary may be used (5.5 s).
+Boxes that a cut leaves on the primary's side go on writing for so long, and a change of
+primary beside a silent box waits for as long: 2 s of silence, this, every box's word and the
+promotion must stay within the 12 s that operators allow a change. It is the same on every
+box at all times, so it is no setting.
 """
 
 LISTING_S = 12.0
 """How old the list of boxes may be in a round, in seconds.
 
-Longer than the outages of the platform that were seen (4.5 to 9 s). A box that
-joined less than `LISTING_S` + `LEASE_S` ago may be missing from others' lists.
+Writes outlive an outage of the platform by this and a lease. Twice the lease: each second
+more is one that a box must have been listed before it may replace a primary beside a silent
+box, as one that joined less than `LISTING_S` + `LEASE_S` ago may be missing from others' lists.
 """
 
 
--- a/wharftiller/core/sessions/endpoints.py
+++ b/wharftiller/core/sessions/endpoints.py
@@ -18,7 +18,8 @@
 SILENCE_FLOOR_S = 0.3
 """An answer owed for less than this is never taken as silence, in seconds.
 
-Twice the longest statement of the deployments served (0.15 s at five times the usual work).
+A packet that is lost is sent again after 0.2 s, the least that the kernel waits: one loss
+is no silence.
 """
 
 SILENCE_FACTOR = 6.0
--- a/wharftiller/core/sessions/shares.py
+++ b/wharftiller/core/sessions/shares.py
@@ -8,8 +8,8 @@
 KEPT_PART = 2
 """One in so many of the connections that a box could have is kept.
 
-Connections of boxes that lost power stay open at the endpoints for seconds (3 s on the
-platforms served); as many as those must be free when all boxes start again.
+Connections of boxes that lost power stay open until the endpoints notice; as many as those
+must be free when all boxes start again.
 """
 
 
--- a/wharftiller/daemons/sessions/homes/home_links.py
+++ b/wharftiller/daemons/sessions/homes/home_links.py
@@ -23,7 +23,7 @@
     from wharftiller.edges.transport import Transport
 
 CONNECT_TIMEOUT_S = 0.3
-"""Time to connect to a home, in seconds: far more than a round trip within a data centre."""
+"""Time to connect to a home, in seconds: one lost packet is sent again after 0.2 s."""
 
 ANSWER_SLACK_S = 0.05
 """Time beyond a statement's time-out that a home's answer may take to get here, in seconds."""
@@ -32,7 +32,7 @@
 """Time for which a home may owe an answer before it is asked whether it lives, in seconds."""
 
 ALIVE_TIMEOUT_S = 0.25
-"""Time that it then has, in seconds."""
+"""Time that it then has, in seconds: one lost packet is sent again after 0.2 s."""
 
 WATCH_S = 0.1
 """Time between looks at homes that owe answers, in seconds."""
--- a/wharftiller/daemons/sessions/leadership/changes.py
+++ b/wharftiller/daemons/sessions/leadership/changes.py
@@ -28,13 +28,14 @@
 ASK_LOST_S = 0.3
 """Time that a lost primary has for its last word before anything is ordered, in seconds.
 
-A hundred round trips between data centres; every change of a dark primary pays it.
+One lost packet is sent again after 0.2 s; every change of a dark primary pays it.
 """
 
 CANDIDATES_FRESH_S = 1.0
 """Age up to which what replicas told of themselves still stands, in seconds.
 
-It was told after the primary had been silent for longer than replicas lag (0.36 s at most).
+It was told after the primary had been silent for 1.2 s: what it had sent has arrived by then,
+whether replicas have applied it or not.
 """
 
 LAST_WORD_FRESH_S = 1.0
--- a/wharftiller/daemons/sessions/membership/isolation.py
+++ b/wharftiller/daemons/sessions/membership/isolation.py
@@ -22,7 +22,7 @@
 """Boxes of another data centre asked before it counts as silent."""
 
 ASK_TIMEOUT_S = 0.25
-"""Time a box elsewhere has to answer, in seconds: ninety round trips between data centres."""
+"""Time a box elsewhere has to answer, in seconds: one lost packet is sent again after 0.2 s."""
 
 
 class IsolationWatch:
--- a/wharftiller/daemons/sessions/serving/choice.py
+++ b/wharftiller/daemons/sessions/serving/choice.py
@@ -25,8 +25,8 @@
 HOLD_FOR_PRIMARY_S = 0.7
 """How long a statement waits for a primary while one is being found, in seconds.
 
-Longer than a planned change of primary (0.3 to 0.6 s to promote); below the
-statement time-out of the busiest routes (0.8 s), so that a refusal is still in time.
+As long as a promotion and its record take; a route's own time-out ends it sooner. Half and
+twice of it served as many within what runs differ by (docs/design/decisions.md).
 """
 
 
--- a/wharftiller/platform/objects.py
+++ b/wharftiller/platform/objects.py
@@ -44,13 +44,14 @@
 """Goes before a box's name in the name of its entry."""
 
 DEFAULT_TIMEOUT_MS = 2_000
-"""A statement's time-out where a route names none, in milliseconds: the longest seen."""
+"""A statement's time-out where a route names none, in milliseconds: as long as callers wait
+for a session to open."""
 
 DEFAULT_GOAL_MS = 500
-"""A route's latency goal where it names none, in milliseconds: the longest seen."""
+"""A route's latency goal where it names none, in milliseconds: a quarter of the time-out."""
 
 DEFAULT_PRIORITY = 2
-"""The lowest priority seen."""
+"""Priority of a route that names none: after those that name 0 or 1."""
 
 DEFAULT_TX_IDLE_MS = 3_000
 """How long a transaction may rest where no limit is named, in milliseconds."""
--- a/wharftiller/platform/settings.py
+++ b/wharftiller/platform/settings.py
@@ -21,13 +21,16 @@
 """
 
 LONGEST_BOUND_S = 3600.0
-"""A bound of an hour or more is taken for a mistake, in seconds: those seen are 3 to 15 s."""
+"""A bound of an hour or more is taken for a mistake in its unit, in seconds."""
 
 MS = 0.001
 """One of the platform's milliseconds, in seconds."""
 
 DEFAULT_MAX_SESSIONS = 3_400
-"""Callers' connections taken where no limit of descriptors is given; the lowest seen is 4,200."""
+"""Callers' connections taken where no limit of descriptors is given.
+
+With `OWN_DESCRIPTORS` just above 4,096, a usual hard limit of a process.
+"""
 
 
 class PlatformSettingsError(WharfError):
--- a/wharftiller/platform/store.py
+++ b/wharftiller/platform/store.py
@@ -14,7 +14,10 @@
     from wharftiller.edges.transport import Transport
 
 CALL_TIMEOUT_S = 0.8
-"""Time for one call, in seconds: the platform answers in 4 ms, in 0.24 s when it is slow."""
+"""Time for one call, in seconds: two lost packets are sent again within 0.6 s.
+
+Rounds and reads of a second must notice within their pause that it does not answer.
+"""
 
 WATCH_WAIT_MS = 25_000
 """How long a watch waits for a change, in milliseconds; the platform allows 30 s."""
