--- a/wharftiller/daemons/sessions/homes/forwarding.py
+++ b/wharftiller/daemons/sessions/homes/forwarding.py
@@ -28,7 +28,8 @@
     from wharftiller.core.sessions.statements import Statement
     from wharftiller.daemons.sessions.homes.home_links import HomeLinks
     from wharftiller.daemons.sessions.homes.homes import Homes
-    from wharftiller.daemons.sessions.membership.boxes import Box, BoxDirectory
+    from wharftiller.daemons.sessions.membership.box import Box
+    from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
     from wharftiller.daemons.sessions.serving.routed import RoutedStatement
     from wharftiller.daemons.sessions.state import SharedState
     from wharftiller.edges.forwarded_json import ForwardedReply
--- a/wharftiller/daemons/sessions/homes/home_links.py
+++ b/wharftiller/daemons/sessions/homes/home_links.py
@@ -17,7 +17,8 @@
     from collections.abc import Iterator
 
     from wharftiller.daemons.sessions.homes.homes import Homes
-    from wharftiller.daemons.sessions.membership.boxes import Box, BoxDirectory
+    from wharftiller.daemons.sessions.membership.box import Box
+    from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
     from wharftiller.daemons.sessions.state import SharedState
     from wharftiller.edges.forwarded_json import ForwardedReply, ForwardedStatement
     from wharftiller.edges.transport import Transport
--- a/wharftiller/daemons/sessions/homes/homes.py
+++ b/wharftiller/daemons/sessions/homes/homes.py
@@ -12,7 +12,8 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from wharftiller.daemons.sessions.membership.boxes import Box, BoxDirectory
+    from wharftiller.daemons.sessions.membership.box import Box
+    from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
     from wharftiller.daemons.sessions.state import SharedState
 
 AVOIDED_S = 3.0
--- a/wharftiller/daemons/sessions/leadership/stopping.py
+++ b/wharftiller/daemons/sessions/leadership/stopping.py
@@ -11,8 +11,10 @@
 
 if TYPE_CHECKING:
     from wharftiller.core.leadership.record import LeadershipRecord
+    from wharftiller.daemons.sessions.membership.box import Box
     from wharftiller.daemons.sessions.membership.box_server import BoxServer
-    from wharftiller.daemons.sessions.membership.boxes import Box, BoxDirectory
+    from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
+    from wharftiller.daemons.sessions.membership.death_marks import DeathMarks
     from wharftiller.daemons.sessions.membership.listings import Listings
     from wharftiller.daemons.sessions.seams import SharedObjects
     from wharftiller.daemons.sessions.state import SharedState
@@ -34,12 +36,14 @@
         self,
         state: SharedState,
         directory: BoxDirectory,
+        marks: DeathMarks,
         server: BoxServer,
         store: SharedObjects,
         listings: Listings,
     ) -> None:
         self._state = state
         self._directory = directory
+        self._marks = marks
         self._server = server
         self._store = store
         self._listings = listings
@@ -47,7 +51,7 @@
     async def everyone_stopped(self, record: LeadershipRecord, won_at: float) -> list[str]:
         """Return once no box uses an old primary; the groups whose lost one answers again."""
         listed = await self._list_anew()
-        dead = self._directory.surely_dead() if listed else []
+        dead = self._marks.surely_dead() if listed else []
         if dead:
             self._state.log.change("dead_boxes_not_waited_for", boxes=dead)
         silent = {n: box for n, box in self._directory.boxes.items() if n not in dead}
--- a/wharftiller/daemons/sessions/membership/box_server.py
+++ b/wharftiller/daemons/sessions/membership/box_server.py
@@ -18,14 +18,15 @@
     from wharftiller.daemons.sessions.homes.forwarded import ForwardedDesk
     from wharftiller.daemons.sessions.homes.home_links import HomeLinks
     from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
+    from wharftiller.daemons.sessions.membership.death_marks import DeathMarks
     from wharftiller.daemons.sessions.membership.readers import ReaderDesk
     from wharftiller.daemons.sessions.state import SharedState
 
 QUIET_WAIT_S = 1.0
 """Time for which writes under way may end before a planned change, in seconds."""
 
-LEAVING_S = 8.0
-"""Time for which nothing is passed to a box that is stopping, in seconds: its grace and a start."""
+START_S = 2.0
+"""Time for a box to start, in seconds: nothing is passed to one that stops for its grace and this."""
 
 NEVER_READ_S = 3600.0
 """Age told of a read that never was, in seconds."""
@@ -40,25 +41,31 @@
         Returns what a box that tells what it knows may learn from this one, as JSON.
     check : callable
         Asks endpoints, named in a list, that were not heard lately.
+    grace_s : float
+        Time between a box being told to stop and being killed, in seconds.
     """
 
     def __init__(
         self,
         state: SharedState,
         directory: BoxDirectory,
+        marks: DeathMarks,
         desk: ReaderDesk,
         known: Callable[[Any], dict[str, Any]],
         check: Callable[[list[str]], Awaitable[None]],
         desk_for_others: ForwardedDesk,
         links: HomeLinks,
+        grace_s: float,
     ) -> None:
         self._state = state
         self._directory = directory
+        self._marks = marks
         self._desk = desk
         self._known = known
         self._check = check
         self._desk_for_others = desk_for_others
         self._links = links
+        self._grace_s = grace_s
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one question."""
@@ -93,7 +100,7 @@
         if not isinstance(question, dict) or not isinstance(question.get("revision"), int):
             raise BadRequestError("a round's question names its revision; run one version")
         state = self._state
-        self._directory.note_answered(str(question.get("box")))
+        self._marks.note_answered(str(question.get("box")))
         check = question.get("check") or ()
         if isinstance(check, list) and check:
             await self._check([str(each) for each in check])
@@ -115,7 +122,7 @@
         """Pass nothing new to a box that is stopping."""
         if not isinstance(value, dict) or not isinstance(value.get("box"), str):
             raise BadRequestError("a leaving box names itself; run one version")
-        await self._links.leave(value["box"], LEAVING_S)
+        await self._links.leave(value["box"], self._grace_s + START_S)
 
     def _read_age_ms(self) -> int:
         age_s = min(trio.current_time() - self._directory.platform_read_at, NEVER_READ_S)
--- a/wharftiller/daemons/sessions/membership/boxes.py
+++ b/wharftiller/daemons/sessions/membership/boxes.py
@@ -14,10 +14,11 @@
 import trio
 
 from wharftiller.core.errors import BadRequestError, ExchangeError
-from wharftiller.core.leadership.lease import RoundAnswer, holds_no_lease
+from wharftiller.core.leadership.lease import RoundAnswer
 from wharftiller.core.leadership.moves import turn_of
 from wharftiller.core.rendezvous import ranked
 from wharftiller.core.sessions.knowledge import Knowledge
+from wharftiller.daemons.sessions.membership.box import Box
 from wharftiller.edges.http_client import HttpClient
 from wharftiller.edges.leadership_json import record_from_json, record_to_json
 
@@ -42,45 +43,6 @@
 """A primary that answered within this time counts as heard, in seconds."""
 
 
-@attrs.frozen
-class Box:
-    """Another box of the deployment.
-
-    Attributes
-    ----------
-    relay : str
-        Where it connects other boxes to endpoints.
-    incarnation : str
-        Id of its process; another one means that the former process is gone.
-    retired : str
-        Incarnation of the box that marked it as dead; empty while it is not. A box
-        that finds itself marked registers anew before its leases count.
-    """
-
-    name: str
-    address: str
-    relay: str
-    incarnation: str
-    data_centre: str
-    retired: str = ""
-
-
-@attrs.frozen
-class _Mark:
-    """A mark that a box is dead.
-
-    Attributes
-    ----------
-    revision : int
-        Of the marked entry; another one is another mark.
-    read_at : float
-        When this box first read it, in seconds.
-    """
-
-    revision: int
-    read_at: float
-
-
 @attrs.frozen
 class BoxReply:
     """One box's answer in a round.
@@ -122,8 +84,6 @@
         self.incarnation = box.incarnation
         self.boxes: dict[str, Box] = {}
         self._replies: dict[str, BoxReply] = {}
-        self._marks: dict[str, _Mark] = {}
-        self._answered_at: dict[str, float] = {}
         self.listed_since: float | None = None
         self.round_at = -math.inf
         self.platform_answers = False
@@ -151,31 +111,6 @@
             self._replies.pop(name, None)
         self.boxes = boxes
 
-    def take_marks(self, marks: dict[str, int]) -> None:
-        """Take in which boxes an own read of the platform shows as dead, by entry's revision."""
-        now = trio.current_time()
-        self._marks = {
-            name: known
-            if (known := self._marks.get(name)) is not None and known.revision == revision
-            else _Mark(revision, now)
-            for name, revision in marks.items()
-        }
-
-    def note_answered(self, box: str) -> None:
-        """Note that a round of another box is being answered."""
-        self._answered_at[box] = trio.current_time()
-
-    def surely_dead(self) -> list[str]:
-        """Return the boxes marked as dead that hold no lease any more."""
-        now = trio.current_time()
-        return [
-            name
-            for name, mark in self._marks.items()
-            if holds_no_lease(
-                mark.read_at, self._answered_at.get(name, -math.inf), self.listed_s(now), now
-            )
-        ]
-
     async def round(self, *, no_older_than_s: float = 0.0, check: tuple[str, ...] = ()) -> bool:
         """Ask every other box; return whether the answers renewed the leases.
 
--- a/wharftiller/daemons/sessions/membership/isolation.py
+++ b/wharftiller/daemons/sessions/membership/isolation.py
@@ -11,7 +11,8 @@
 from wharftiller.core.sessions.isolation import Begin, End, Isolation, IsolationView, SendAway
 
 if TYPE_CHECKING:
-    from wharftiller.daemons.sessions.membership.boxes import Box, BoxDirectory
+    from wharftiller.daemons.sessions.membership.box import Box
+    from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
     from wharftiller.daemons.sessions.serving.callers import SessionServer
     from wharftiller.daemons.sessions.state import SharedState
 
--- a/wharftiller/daemons/sessions/membership/listings.py
+++ b/wharftiller/daemons/sessions/membership/listings.py
@@ -5,7 +5,9 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from wharftiller.daemons.sessions.membership.boxes import Box, BoxDirectory
+    from wharftiller.daemons.sessions.membership.box import Box
+    from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
+    from wharftiller.daemons.sessions.membership.death_marks import DeathMarks
     from wharftiller.daemons.sessions.seams import SharedListing
     from wharftiller.daemons.sessions.state import SharedState
 
@@ -13,9 +15,12 @@
 class Listings:
     """Brings listings into this box's view of the other boxes and of the leases."""
 
-    def __init__(self, state: SharedState, directory: BoxDirectory, box: Box) -> None:
+    def __init__(
+        self, state: SharedState, directory: BoxDirectory, marks: DeathMarks, box: Box
+    ) -> None:
         self._state = state
         self._directory = directory
+        self._marks = marks
         self._box = box
 
     def others(self, listing: SharedListing) -> dict[str, Box]:
@@ -36,7 +41,7 @@
         """
         others = self.others(listing)
         self._directory.take_list(others)
-        self._directory.take_marks(listing.marks)
+        self._marks.take(listing.marks)
         if not self.holds_this_process(listing):
             self._directory.listed_since = None
             return False
--- a/wharftiller/daemons/sessions/membership/neighbours.py
+++ b/wharftiller/daemons/sessions/membership/neighbours.py
@@ -10,7 +10,7 @@
 from wharftiller.core.errors import BadRequestError
 from wharftiller.core.sessions.knowledge import Knowledge
 from wharftiller.core.sessions.routes import EndpointEntry
-from wharftiller.daemons.sessions.membership.boxes import Box
+from wharftiller.daemons.sessions.membership.box import Box
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
--- a/wharftiller/daemons/sessions/membership/shared_reads.py
+++ b/wharftiller/daemons/sessions/membership/shared_reads.py
@@ -10,7 +10,8 @@
 from wharftiller.core.leadership.reading import ReadingView, ReadPace, read_is_due
 
 if TYPE_CHECKING:
-    from wharftiller.daemons.sessions.membership.boxes import Box, BoxDirectory
+    from wharftiller.daemons.sessions.membership.box import Box
+    from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
     from wharftiller.daemons.sessions.membership.lease_rounds import LeaseRounds
     from wharftiller.daemons.sessions.membership.listings import Listings
     from wharftiller.daemons.sessions.membership.neighbours import Neighbours
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -23,8 +23,10 @@
 from wharftiller.daemons.sessions.leadership.record_writer import RecordWriter
 from wharftiller.daemons.sessions.leadership.stopping import BoxStopper
 from wharftiller.daemons.sessions.leadership.successors import Successors
+from wharftiller.daemons.sessions.membership.box import Box
 from wharftiller.daemons.sessions.membership.box_server import BoxServer
-from wharftiller.daemons.sessions.membership.boxes import Box, BoxDirectory
+from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
+from wharftiller.daemons.sessions.membership.death_marks import DeathMarks
 from wharftiller.daemons.sessions.membership.isolation import IsolationWatch
 from wharftiller.daemons.sessions.membership.lease_rounds import LeaseRounds
 from wharftiller.daemons.sessions.membership.listings import Listings
@@ -113,7 +115,8 @@
         )
         self.state = SharedState(identity.name, identity.data_centre, dialer, log, nursery)
         self._directory = BoxDirectory(self.state, transport, self._box)
-        listings = Listings(self.state, self._directory, self._box)
+        marks = DeathMarks(self._directory)
+        listings = Listings(self.state, self._directory, marks, self._box)
         self._homes = Homes(self.state, self._directory)
         self._links = HomeLinks(self.state, self._homes, self._directory, transport, nursery)
         forwarder = Forwarder(self.state, self._homes, self._directory, self._links, nursery)
@@ -135,16 +138,18 @@
         self._box_server = BoxServer(
             self.state,
             self._directory,
+            marks,
             desk,
             self._neighbours.known,
             self._prober.check,
             self._for_others,
             self._links,
+            identity.bounds.grace_s,
         )
         self.relay = RelayServer(transport, self.state.endpoints.is_endpoint)
         writer = RecordWriter(self.state, shared, incarnation)
         successors = Successors(self.state, self._prober)
-        stopper = BoxStopper(self.state, self._directory, self._box_server, shared, listings)
+        stopper = BoxStopper(self.state, self._directory, marks, self._box_server, shared, listings)
         changes = ChangeRunner(
             self.state, self._directory, writer, stopper, successors, promotions, self._prober
         )
--- a/wharftiller/daemons/sessions/seams.py
+++ b/wharftiller/daemons/sessions/seams.py
@@ -14,7 +14,7 @@
     from wharftiller.core.leadership.record import LeadershipRecord
     from wharftiller.core.sessions.routes import EndpointEntry
     from wharftiller.core.sessions.statements import EndpointQuery, EndpointStatus, Reply
-    from wharftiller.daemons.sessions.membership.boxes import Box
+    from wharftiller.daemons.sessions.membership.box import Box
 
 
 class EndpointConnection(Protocol):
--- a/wharftiller/platform/objects.py
+++ b/wharftiller/platform/objects.py
@@ -18,7 +18,7 @@
     Route,
     SessionConfiguration,
 )
-from wharftiller.daemons.sessions.membership.boxes import Box
+from wharftiller.daemons.sessions.membership.box import Box
 from wharftiller.daemons.sessions.seams import SharedListing
 from wharftiller.edges.leadership_json import record_from_json, record_to_json
 
