--- a/wharftiller/daemons/sessions/membership/box_server.py
+++ b/wharftiller/daemons/sessions/membership/box_server.py
@@ -26,7 +26,7 @@
 """Time for which writes under way may end before a planned change, in seconds."""
 
 START_S = 2.0
-"""Time for a box to start, in seconds: nothing is passed to one that stops for its grace and this."""
+"""Time for a box to start, in seconds: one that stops is passed over for its grace and this."""
 
 NEVER_READ_S = 3600.0
 """Age told of a read that never was, in seconds."""
