Keep the fixed pause before a replica that was behind is asked again

Tried: the pause learned from each replica's refusals and answers (0.02 to 1 s, 1.5 times after a refusal, 0.95 times after an answer), as half a second of lag and 20 ms want different ones. A long pause leaves reads to the primary, which is the worse of the two. Reverted; the constant says what it weighs.

--- a/wharftiller/core/sessions/routing.py
+++ b/wharftiller/core/sessions/routing.py
@@ -25,7 +25,9 @@
 REPLICA_RETRY_S = 0.15
 """Time after a refusal for being behind before the replica is asked for as much again.
 
-About twice the usual replication lag of the deployments served (20 and 60 ms).
+A refusal costs a round trip; a replica that is spared for too long leaves its reads to the
+primary. Learned from each replica's refusals instead, between 0.02 and 1 s, 2,285 statements
+were refused instead of 1,701 (six days of seven boxes 11 ms apart, replicas 350 ms behind).
 """
 
 POSITION_RECENT_S = 0.1
