Work out homes and readers once for each list of boxes, and let tasks wait for something to watch

Cause: an idle box asked hundreds of times a second who serves which group and who reads, and each answer went through the whole list of boxes (949,798 passes over 194 boxes in 10 s of 195 idle boxes, profile in virtual time: 108 of 165 s). Further 120 wake-ups a second looked whether reads wait, homes owe answers or feeds are wanted while none was. Ruled out: questions between boxes (under a tenth of the profile once boxes know one another). Change: BoxList holds what follows from one list; Homes keeps what it worked out until list, configuration or the boxes passed over change; patience, home links and feeds wait for an event. Steps of tasks of 24 idle boxes 137 -> 63 a box and second (test_idle.py, failing before).

--- a/wharftiller/daemons/sessions/connections/pool.py
+++ b/wharftiller/daemons/sessions/connections/pool.py
@@ -281,6 +281,8 @@
 
     def trim(self, now: float) -> None:
         """Close idle connections beyond the share that were not used lately."""
+        if not self._idle:
+            return
         keep = 0 if self.row.gone else self.share()
         for connection in list(self._idle):
             if len(self._all) <= keep:
--- a/wharftiller/daemons/sessions/homes/home_links.py
+++ b/wharftiller/daemons/sessions/homes/home_links.py
@@ -84,6 +84,7 @@
         self._transport = transport
         self._nursery = nursery
         self._links: dict[str, _HomeLink] = {}
+        self._answers_owed = trio.Event()
 
     async def ask(self, home: Box, message: ForwardedStatement, until: float) -> ForwardedReply:
         """Return the home's reply to a statement that times out at ``until`` (seconds).
@@ -140,6 +141,7 @@
         link.lost = False
         with trio.CancelScope(deadline=until + ANSWER_SLACK_S) as scope:
             link.owed[scope] = trio.current_time()
+            self._answers_owed.set()
             try:
                 yield scope
             finally:
@@ -148,6 +150,7 @@
     async def watch_for_ever(self) -> None:
         """Find homes that owe answers and do not live; what they owe is given up at once."""
         while True:
+            await self._answers_owed.wait()
             await trio.sleep(WATCH_S)
             now = trio.current_time()
             for link in list(self._links.values()):
@@ -156,6 +159,8 @@
                 if now - since > SILENT_S:
                     link.asked_at = now
                     self._nursery.start_soon(self._ask_alive, link)
+            if not any(link.owed for link in self._links.values()):
+                self._answers_owed = trio.Event()
 
     async def _ask_alive(self, link: _HomeLink) -> None:
         if not await self._directory.is_alive(link.box, ALIVE_TIMEOUT_S):
--- a/wharftiller/daemons/sessions/homes/homes.py
+++ b/wharftiller/daemons/sessions/homes/homes.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
+import attrs
 import trio
 
 from wharftiller.core.rendezvous import ranked
@@ -19,78 +21,123 @@
 AVOIDED_S = 3.0
 """Time for which a home that did not answer is passed over, in seconds: a restart takes 1 to 2."""
 
-RANKINGS_KEPT = 200
-"""Rankings of boxes kept, each for one group and one choice of usable boxes."""
+
+@attrs.frozen
+class _GroupHomes:
+    """The homes of one group in this data centre.
+
+    Attributes
+    ----------
+    near : tuple of str
+        Their names, best first.
+    is_home : bool
+        Whether this box is one.
+    chosen : str or None
+        The one that this box passes statements to; None if it runs them itself.
+    """
+
+    plan: HomePlan
+    near: tuple[str, ...]
+    is_home: bool
+    chosen: str | None
 
 
 class Homes:
-    """The homes of every group, by the list of boxes and by who answered lately."""
+    """The homes of every group, by the list of boxes and by who answered lately.
+
+    They are worked out once for each list of boxes, configuration and choice of boxes passed
+    over, not for each of the hundreds of questions a second (see `BoxList`).
+    """
 
     def __init__(self, state: SharedState, directory: BoxDirectory) -> None:
         self._state = state
         self._directory = directory
         self._avoided_until: dict[str, float] = {}
-        self._ranked: dict[tuple[str, tuple[str, ...]], list[str]] = {}
+        self._known: dict[str, _GroupHomes] = {}
+        self._known_everywhere: dict[str, list[str]] = {}
+        self._known_list = directory.list
+        self._known_configuration = state.configuration
+        self._known_until = math.inf
         state.endpoints.share_of_group = self.share
         state.serves_group = self.serves
 
     def plan(self, group: str) -> HomePlan:
         """Return how ``group``'s connections are dealt out among the boxes listed."""
-        limits = self._state.configuration.groups.get(group)
-        most = limits.max_connections if limits is not None else 1
-        centres = {box.data_centre for box in self._directory.boxes.values()}
-        centres.add(self._state.data_centre)
-        return plan_homes(most, len(self._directory.boxes) + 1, len(centres))
+        return self._homes(group).plan
 
     def share(self, group: str) -> int:
         """Return how many connections to one endpoint of ``group`` this box may keep."""
-        plan = self.plan(group)
-        return plan.share if plan.homes is None or self.serves(group) else 1
+        homes = self._homes(group)
+        return homes.plan.share if homes.is_home else 1
 
     def serves(self, group: str) -> bool:
         """Return whether this box runs ``group``'s statements by itself."""
-        plan = self.plan(group)
-        return plan.homes is None or self._state.box in self._homes_near(group, plan, ())
+        return self._homes(group).is_home
 
     def all_homes(self, group: str) -> list[str] | None:
         """Return ``group``'s homes in all data centres; None if every box is one."""
         plan = self.plan(group)
         if plan.homes is None:
             return None
-        centres: dict[str, list[str]] = {self._state.data_centre: [self._state.box]}
-        for name, box in self._directory.boxes.items():
-            if not box.retired:
-                centres.setdefault(box.data_centre, []).append(name)
-        return [home for names in centres.values() for home in homes_of(group, names, plan)]
+        known = self._known_everywhere.get(group)
+        if known is None:
+            live = self._directory.list.live
+            known = [home for names in live.values() for home in homes_of(group, names, plan)]
+            self._known_everywhere[group] = known
+        return known
 
     def choose(self, group: str, tried: Collection[str]) -> Box | None:
         """Return the home to pass a statement to; None if this box is the one."""
-        homes = self._homes_near(group, self.plan(group), tried)
-        if not homes or self._state.box in homes:
-            return None
-        # Boxes spread over the homes; each keeps to one while it answers.
-        return self._directory.boxes[ranked(self._state.box + group, homes)[0]]
+        homes = self._homes(group)
+        if tried:
+            homes = self._work_out(group, tried)
+        return None if homes.chosen is None else self._directory.boxes[homes.chosen]
 
     def avoid(self, name: str, for_s: float = AVOIDED_S) -> None:
         """Pass over a box for a while: it did not answer, or it is stopping."""
         self._avoided_until[name] = trio.current_time() + for_s
+        self._known_until = -math.inf
+
+    def _homes(self, group: str) -> _GroupHomes:
+        self._forget_outdated()
+        known = self._known.get(group)
+        if known is None:
+            known = self._known[group] = self._work_out(group, ())
+        return known
+
+    def _forget_outdated(self) -> None:
+        """Forget what was worked out from another list, configuration or choice."""
+        now = trio.current_time()
+        if (
+            self._known_list is self._directory.list
+            and self._known_configuration is self._state.configuration
+            and now < self._known_until
+        ):
+            return
+        self._known.clear()
+        self._known_everywhere.clear()
+        self._known_list = self._directory.list
+        self._known_configuration = self._state.configuration
+        self._avoided_until = {n: end for n, end in self._avoided_until.items() if end > now}
+        self._known_until = min(self._avoided_until.values(), default=math.inf)
+
+    def _work_out(self, group: str, tried: Collection[str]) -> _GroupHomes:
+        plan = self._plan(group)
+        own = self._state.box
+        near = tuple(plan.among(ranked(group, self._near(tried))))
+        if plan.homes is None or own in near:
+            return _GroupHomes(plan, near, True, None)
+        # Boxes spread over the homes; each keeps to one while it answers.
+        return _GroupHomes(plan, near, False, ranked(own + group, near)[0])
 
-    def _homes_near(self, group: str, plan: HomePlan, tried: Collection[str]) -> list[str]:
-        near = tuple(self._near(tried))
-        order = self._ranked.get((group, near))
-        if order is None:
-            if len(self._ranked) > RANKINGS_KEPT:
-                self._ranked.clear()
-            order = self._ranked[group, near] = ranked(group, near)
-        return plan.among(order)
+    def _plan(self, group: str) -> HomePlan:
+        limits = self._state.configuration.groups.get(group)
+        most = limits.max_connections if limits is not None else 1
+        boxes = self._directory.list
+        return plan_homes(most, len(boxes.others) + 1, len(boxes.data_centres))
 
     def _near(self, tried: Collection[str]) -> list[str]:
         """Return the boxes of this data centre that may be homes, this one among them."""
-        now = trio.current_time()
-        near = [self._state.box]
-        for name, box in self._directory.boxes.items():
-            if box.data_centre != self._state.data_centre or box.retired or name in tried:
-                continue
-            if self._avoided_until.get(name, now) <= now:
-                near.append(name)
-        return near
+        passed_over = self._avoided_until.keys() | set(tried)
+        own = self._state.box
+        return [n for n in self._directory.list.near if n == own or n not in passed_over]
--- a/wharftiller/daemons/sessions/membership/boxes.py
+++ b/wharftiller/daemons/sessions/membership/boxes.py
@@ -19,6 +19,7 @@
 from wharftiller.core.rendezvous import ranked
 from wharftiller.core.sessions.knowledge import Knowledge
 from wharftiller.daemons.sessions.membership.box import Box
+from wharftiller.daemons.sessions.membership.box_list import BoxList
 from wharftiller.edges.http_client import HttpClient
 from wharftiller.edges.leadership_json import record_from_json, record_to_json
 
@@ -67,6 +68,8 @@
 
     Attributes
     ----------
+    list : BoxList
+        Every box; replaced whenever it changes.
     listed_since : float or None
         When this process first read its own entry in the list of boxes.
     platform_answers : bool
@@ -82,13 +85,18 @@
         self._alive_clients: dict[str, HttpClient] = {}
         self._box = box
         self.incarnation = box.incarnation
-        self.boxes: dict[str, Box] = {}
+        self.list = BoxList(box, {})
         self._replies: dict[str, BoxReply] = {}
         self.listed_since: float | None = None
         self.round_at = -math.inf
         self.platform_answers = False
         self.platform_read_at = -math.inf
 
+    @property
+    def boxes(self) -> dict[str, Box]:
+        """The other boxes by name, those marked as dead among them."""
+        return self.list.others
+
     @property
     def replies(self) -> dict[str, BoxReply]:
         """The answers of the last round, unless it was long ago."""
@@ -104,12 +112,14 @@
 
     def take_list(self, boxes: dict[str, Box]) -> None:
         """Take in the platform's list of the other boxes."""
+        if boxes == self.boxes:
+            return
         for name in boxes.keys() - self.boxes.keys():
             self._state.log.change("box_listed", other=name)
         for name in self.boxes.keys() - boxes.keys():
             self._state.log.change("box_unlisted", other=name)
             self._replies.pop(name, None)
-        self.boxes = boxes
+        self.list = BoxList(self._box, boxes)
 
     async def round(self, *, no_older_than_s: float = 0.0, check: tuple[str, ...] = ()) -> bool:
         """Ask every other box; return whether the answers renewed the leases.
--- a/wharftiller/daemons/sessions/membership/isolation.py
+++ b/wharftiller/daemons/sessions/membership/isolation.py
@@ -51,8 +51,9 @@
     async def _look(self) -> None:
         view = self._view()
         asked = self._isolation.centres_to_ask(view)
-        silent = await self._silent_among(asked) if asked else frozenset()
-        view = attrs.evolve(self._view(), silent=silent)
+        if asked:
+            silent = await self._silent_among(asked)
+            view = attrs.evolve(self._view(), silent=silent)
         told = {"unusable": sorted(view.unusable)}
         match self._isolation.decide(view):
             case Begin(silent):
@@ -70,7 +71,7 @@
             groups=len(self._state.leases.record.groups),
             unusable=unusable,
             away=self._away(unusable),
-            elsewhere=frozenset(self._elsewhere()),
+            elsewhere=frozenset(self._directory.list.elsewhere),
         )
 
     def _unusable(self) -> frozenset[str]:
@@ -100,17 +101,9 @@
                 centres[group] = row.entry.data_centre
         return centres
 
-    def _elsewhere(self) -> dict[str, list[str]]:
-        """Return the boxes of every other data centre."""
-        elsewhere: dict[str, list[str]] = {}
-        for name, box in self._directory.boxes.items():
-            if box.data_centre != self._state.data_centre and not box.retired:
-                elsewhere.setdefault(box.data_centre, []).append(name)
-        return elsewhere
-
     async def _silent_among(self, centres: frozenset[str]) -> frozenset[str]:
         """Return those of ``centres`` that have boxes, none of which answers."""
-        elsewhere = self._elsewhere()
+        elsewhere = self._directory.list.elsewhere
         answering: set[str] = set()
 
         async def ask(box: Box) -> None:
--- a/wharftiller/daemons/sessions/membership/readers.py
+++ b/wharftiller/daemons/sessions/membership/readers.py
@@ -15,7 +15,6 @@
 import trio
 
 from wharftiller.core.errors import BadRequestError, ExchangeError
-from wharftiller.core.rendezvous import ranked
 from wharftiller.core.sessions.knowledge import Knowledge
 from wharftiller.daemons.sessions.membership.box import Box
 from wharftiller.daemons.sessions.membership.boxes import ROUND_TIMEOUT_S
@@ -144,12 +143,7 @@
 
     def readers(self) -> list[Box]:
         """Return the boxes to ask in this box's data centre, best first, this one among them."""
-        near = {
-            name: box
-            for name, box in {**self._directory.boxes, self._box.name: self._box}.items()
-            if box.data_centre == self._box.data_centre and not box.retired
-        }
-        return [near[name] for name in ranked("reader", near)]
+        return self._directory.list.readers
 
     @property
     def is_reader(self) -> bool:
--- a/wharftiller/daemons/sessions/membership/shared_reads.py
+++ b/wharftiller/daemons/sessions/membership/shared_reads.py
@@ -29,6 +29,9 @@
 LOOK_S = 0.1
 """Time between looks at whether to read again, in seconds."""
 
+FEEDS_LOOK_S = 0.25
+"""Time between looks at whether to follow the feeds, in seconds: a quarter of a round's pause."""
+
 
 class SharedReads:
     """Own reads of the platform, as often as needed.
@@ -105,7 +108,7 @@
                 behind_reader = self._readers.applies and not self._readers.is_reader
                 told = behind_reader and self._rounds.renewed
                 self._feeds.follow(not told or self._neighbours.fetch_failed)
-            await trio.sleep(LOOK_S)
+            await trio.sleep(FEEDS_LOOK_S)
 
     async def _read(self) -> None:
         try:
--- a/wharftiller/daemons/sessions/serving/patience.py
+++ b/wharftiller/daemons/sessions/serving/patience.py
@@ -39,6 +39,7 @@
 
     def __init__(self) -> None:
         self._waiting: set[_Waiting] = set()
+        self._somebody_waits = trio.Event()
 
     @contextmanager
     def limit(
@@ -51,16 +52,20 @@
         with trio.CancelScope(deadline=until) as scope:
             waiting = _Waiting(scope, patient_until, another_can)
             self._waiting.add(waiting)
+            self._somebody_waits.set()
             try:
                 yield
             finally:
                 self._waiting.discard(waiting)
 
     async def run(self) -> None:
-        """Look for ever."""
+        """Look for ever, while reads wait."""
         while True:
+            await self._somebody_waits.wait()
             await trio.sleep(LOOK_S)
             now = trio.current_time()
             for waiting in list(self._waiting):
                 if now >= waiting.patient_until and waiting.another_can():
                     waiting.scope.cancel()
+            if not self._waiting:
+                self._somebody_waits = trio.Event()
--- a/wharftiller/platform/feeds.py
+++ b/wharftiller/platform/feeds.py
@@ -30,9 +30,6 @@
 AGAIN_MOST_S = 1.6
 """Longest time between tries while the platform is away, in seconds."""
 
-WANTED_LOOK_S = 0.1
-"""Time between looks at whether to follow, in seconds."""
-
 LIST_PART = 0.4
 """Time for a list, as a part of that within which a configuration is in force.
 
@@ -81,7 +78,12 @@
         self._watching: trio.CancelScope | None = None
         self._verified = 0
         self._revision = 0
-        self.wanted = False
+        self._wanted = trio.Event()
+
+    @property
+    def wanted(self) -> bool:
+        """Whether this box follows the objects itself."""
+        return self._wanted.is_set()
 
     async def run(self) -> None:
         """Follow for ever."""
@@ -91,7 +93,7 @@
         while True:
             if not self.wanted:
                 objects = None
-                await trio.sleep(WANTED_LOOK_S)
+                await self._wanted.wait()
                 continue
             try:
                 if objects is None:
@@ -135,8 +137,11 @@
 
     def follow(self, wanted: bool) -> None:
         """Follow from now on, or not."""
-        self.wanted = wanted
-        if not wanted and self._watching is not None:
+        if wanted:
+            self._wanted.set()
+            return
+        self._wanted = trio.Event()
+        if self._watching is not None:
             self._watching.cancel()
 
     async def verify(self, revision: int) -> None:
--- /dev/null
+++ b/wharftiller/tests/platform/test_idle.py
@@ -0,0 +1,67 @@
+"""What boxes of a large deployment do while no caller asks for anything."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import pytest
+import trio
+
+from wharftiller.core.sessions.homes import HomePlan, plan_homes
+from wharftiller.tests.platform.world import World, make_group, run_in_world
+
+BOXES = 24
+GROUPS = 8
+SCARCE = 20
+"""Connections to an endpoint: fewer than two a box, so that a few homes serve each group."""
+
+WATCHED_S = 5.0
+
+STEPS_A_SECOND = 75
+"""Steps of all tasks for one box in a second, those of the stand-ins for its questions too.
+
+137 before tasks waited for something to watch, 63 since (24 boxes, virtual time).
+"""
+
+
+class Steps(trio.abc.Instrument):
+    """Counts how often a task runs."""
+
+    def __init__(self) -> None:
+        self.count = 0
+
+    def before_task_step(self, task: trio.lowlevel.Task) -> None:
+        self.count += 1
+
+
+def run_large(story: Callable[[World], Awaitable[None]]) -> None:
+    groups = [make_group(f"g{n}", network=20 + n, max_connections=SCARCE) for n in range(GROUPS)]
+    run_in_world(story, boxes=BOXES, groups=groups)
+
+
+class TestIdleBoxes:
+    def test_tasks_seldom_run(self) -> None:
+        async def story(world: World) -> None:
+            await trio.sleep(WATCHED_S)
+            steps = Steps()
+            trio.lowlevel.add_instrument(steps)
+            await trio.sleep(WATCHED_S)
+            trio.lowlevel.remove_instrument(steps)
+            assert steps.count / BOXES / WATCHED_S < STEPS_A_SECOND
+
+        run_large(story)
+
+    def test_homes_are_worked_out_once_for_each_list(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        calls = []
+
+        def counted(max_connections: int, boxes: int, data_centres: int) -> HomePlan:
+            calls.append(boxes)
+            return plan_homes(max_connections, boxes, data_centres)
+
+        async def story(world: World) -> None:
+            await trio.sleep(WATCHED_S)
+            monkeypatch.setattr("wharftiller.daemons.sessions.homes.homes.plan_homes", counted)
+            await trio.sleep(WATCHED_S)
+            assert not calls
+
+        run_large(story)
