Work out whose turn it is to replace a primary only where one is silent or leaving

Cause: every home ranked all live boxes for each of its groups seven times a second (40 boxes under load: 1.5 of 8 s, profile in virtual time). Change: a primary that answers and stays needs nobody's turn. Test in test_idle.py, failing before. Ruled out: that a turn was needed otherwise; both rules that take it also ask for silence or leaving.

--- a/wharftiller/core/sessions/endpoints.py
+++ b/wharftiller/core/sessions/endpoints.py
@@ -85,6 +85,11 @@
         """Whether its entry stood in the newest list known."""
         return not self.gone and self.missing_since is None
 
+    @property
+    def may_need_successor(self) -> bool:
+        """Whether it is silent or about to end, so that a group that it leads needs another."""
+        return self.unreachable_since is not None or self.leaving_since is not None
+
     def may_still_lead(self, now: float) -> bool:
         """Return whether a primary that is about to end may still be sent statements."""
         if self.leaving_since is None:
--- a/wharftiller/daemons/sessions/leadership/mover.py
+++ b/wharftiller/daemons/sessions/leadership/mover.py
@@ -150,6 +150,8 @@
         """Return the change that ``group`` needs, if it is this box's turn to start one."""
         now = trio.current_time()
         row = self._state.endpoints.rows.get(leading.endpoint)
+        if row is not None and not row.may_need_successor:
+            return None
         turn = self._turn(group)
         planned = row is not None and must_leave(row, turn, now)
         if planned:
--- a/wharftiller/tests/platform/test_idle.py
+++ b/wharftiller/tests/platform/test_idle.py
@@ -8,6 +8,7 @@
 import trio
 
 from wharftiller.core.sessions.homes import HomePlan, plan_homes
+from wharftiller.daemons.sessions.leadership.mover import PrimaryMover
 from wharftiller.tests.platform.world import World, make_group, run_in_world
 
 BOXES = 24
@@ -65,3 +66,20 @@
             assert not calls
 
         run_large(story)
+
+    def test_turns_are_worked_out_for_primaries_in_need_only(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        turns = []
+
+        def counted(mover: PrimaryMover, what: str) -> int:
+            turns.append(what)
+            return 0
+
+        async def story(world: World) -> None:
+            await trio.sleep(WATCHED_S)
+            monkeypatch.setattr(PrimaryMover, "_turn", counted)
+            await trio.sleep(WATCHED_S)
+            assert not turns
+
+        run_large(story)
