Keep descriptors for 200 other boxes

Cause: 800 were kept for all that is not a caller, said to fit 72 boxes. Arithmetic for 195 boxes: 200 files, 194 boxes with up to six connections each, 30 endpoints with ten. Ruled out: a limit worked out from the list of boxes; it would cut sessions while boxes join. Change: 1,800 are kept, so 2,400 callers fit where nothing is said.

--- a/wharftiller/platform/settings.py
+++ b/wharftiller/platform/settings.py
@@ -14,10 +14,11 @@
 METRICS_PORT = 9464
 """Port of the page of metrics; deploy/system.toml names it to the platform."""
 
-OWN_DESCRIPTORS = 800
+OWN_DESCRIPTORS = 1_800
 """Descriptors kept for files (the platform's 200), endpoints, other boxes and the platform.
 
-Twelve endpoints with a few connections each and 72 boxes need some 300.
+Of 200 boxes each may hold six connections (asked and asking for rounds, for signs of life and
+for statements), of 30 endpoints ten each.
 """
 
 LONGEST_BOUND_S = 3600.0
@@ -26,7 +27,7 @@
 MS = 0.001
 """One of the platform's milliseconds, in seconds."""
 
-DEFAULT_MAX_SESSIONS = 3_400
+DEFAULT_MAX_SESSIONS = 2_400
 """Callers' connections taken where no limit of descriptors is given.
 
 With `OWN_DESCRIPTORS` just above 4,096, a usual hard limit of a process.
