--- a/wharftiller/platform/feeds.py
+++ b/wharftiller/platform/feeds.py
@@ -58,6 +58,8 @@
         anything changed.
     missed : callable
         Called when a change was found that the watch did not tell.
+    account : RevisionAccount
+        Where every change read or told is noted.
     list_timeout_s : float
         Time for a list, in seconds: a large one takes long on a slow link.
     """
@@ -68,10 +70,12 @@
         kind: str,
         take: Callable[[Objects, int], bool],
         missed: Callable[[], None],
+        account: RevisionAccount,
         list_timeout_s: float,
         log: DecisionLog,
     ) -> None:
         self._store = store
+        self._account = account
         self._list_timeout_s = list_timeout_s
         self._kind = kind
         self._take = take
@@ -117,6 +121,7 @@
             self._kind, client, self._list_timeout_s
         )
         self._verified = max(self._verified, self._revision)
+        self._account.saw(stored.revision for stored in objects.values())
         # What a starting box reads first is news to nobody: told by each of 60 that start, it
         # had every other one look, 3,540 words in half a second.
         if self._take(objects, self._revision) and followed_before:
@@ -130,6 +135,7 @@
             self._log.change("watch_history_lost", kind=self._kind)
             return None
         self._revision = told.revision
+        self._account.saw(changed.revision for _, changed in told.changes)
         for gone, changed in told.changes:
             if gone:
                 objects.pop(changed.name, None)
@@ -175,9 +181,13 @@
         self._nursery: trio.Nursery | None = None
         self._account = RevisionAccount()
         list_s = LIST_PART * bounds.configuration_in_force_s
+        kinds = [
+            (CONFIGURATION_KIND, self._take_configuration),
+            (ENDPOINT_KIND, self._take_endpoints),
+        ]
         self._followers = [
-            KindFollower(store, CONFIGURATION_KIND, self._take_configuration, missed, list_s, log),
-            KindFollower(store, ENDPOINT_KIND, self._take_endpoints, missed, list_s, log),
+            KindFollower(store, kind, take, missed, self._account, list_s, log)
+            for kind, take in kinds
         ]
 
     def start(self, nursery: trio.Nursery) -> None:
@@ -210,7 +220,6 @@
         self._account.settle(revision)
 
     def _take_configuration(self, objects: Objects, revision: int) -> bool:
-        self._account.saw(stored.revision for stored in objects.values())
         stored = objects.get(CONFIGURATION_NAME)
         if stored is None:
             return False
@@ -222,6 +231,5 @@
         return self._state.take_configuration(configuration, "platform")
 
     def _take_endpoints(self, objects: Objects, revision: int) -> bool:
-        self._account.saw(stored.revision for stored in objects.values())
         entries = decode_endpoints(objects, self._bounds, self._log)
         return self._state.endpoints.take(entries, revision)
--- a/wharftiller/tests/platform/test_readers.py
+++ b/wharftiller/tests/platform/test_readers.py
@@ -13,10 +13,16 @@
 from wharftiller.daemons.sessions.membership.box_server import BoxServer
 from wharftiller.daemons.sessions.membership.neighbours import Neighbours
 from wharftiller.edges.http_server import HttpRequest, HttpResponse
+from wharftiller.platform.objects import CONFIGURATION_KIND, ENDPOINT_KIND
+from wharftiller.platform.store import ObjectStore
 from wharftiller.tests.platform.world import STORE_IP, World, run_in_world, write_until_done
 
 BOXES = 9
 
+MOST_LISTS = 4
+"""Lists read beside changes that the watches tell: 11 before each told revision was accounted
+for, 4 since, those of boxes that begin to follow (virtual time)."""
+
 
 @pytest.fixture(autouse=True)
 def _large(monkeypatch: pytest.MonkeyPatch) -> None:
@@ -138,6 +144,30 @@
         monkeypatch.setattr(Neighbours, "known", noted)
         run_in_world(story, boxes=BOXES)
 
+    def test_changes_that_watches_tell_make_nobody_list_anew(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Configurations in quick succession, while a box stops and another starts."""
+        list_all, listed = ObjectStore.list_all, []
+
+        async def noted(store: ObjectStore, kind: str, *args: Any) -> Any:
+            listed.append(kind)
+            return await list_all(store, kind, *args)
+
+        async def story(world: World) -> None:
+            await trio.sleep(5)
+            monkeypatch.setattr(ObjectStore, "list_all", noted)
+            document = world.store.spec("config", "main")
+            world.boxes["box-9"].told.set()
+            for version in range(2, 22):
+                world.store.set("config", "main", {**document, "Version": version})
+                await trio.sleep(0.08)
+            await world.start_box(12)
+            await trio.sleep(3)
+            assert listed.count(CONFIGURATION_KIND) + listed.count(ENDPOINT_KIND) <= MOST_LISTS
+
+        run_in_world(story, boxes=BOXES)
+
     def test_a_large_configuration_is_told_in_a_tenth_of_its_size(self) -> None:
         routes = [
             {"Name": f"r-{n}", "Host": f"host-{n}", "Kind": "primary", "Service": "seats"}
