List the entries of boxes after changes only

Ruled out: a watch that waits for no time as the check of a lease: watches tell nothing while history is compacted. A record of its own kind beside the boxes: boxes of two versions would read two records. Change: while nothing changes only what follows the boxes' entries by name, the record, is listed; the answer's revision tells whether anything changed.

--- a/wharftiller/platform/objects.py
+++ b/wharftiller/platform/objects.py
@@ -43,6 +43,10 @@
 BOX_PREFIX = "box."
 """Goes before a box's name in the name of its entry."""
 
+AFTER_BOXES = "box/"
+"""Follows the name of every box's entry and goes before the record's: lists are in the order
+of names."""
+
 DEFAULT_TIMEOUT_MS = 2_000
 """A statement's time-out where a route names none, in milliseconds: as long as callers wait
 for a session to open."""
@@ -149,9 +153,27 @@
     def __init__(self, store: ObjectStore, log: DecisionLog) -> None:
         self._store = store
         self._log = log
+        self._last: SharedListing | None = None
+        self._is_calm = False
 
     async def read(self) -> SharedListing:
-        """Read everything as it stands now."""
+        """Read everything as it stands now.
+
+        While nothing changes only the record is listed, whose answer tells the platform's
+        revision: where that is the last list's, no entry has changed. The entries of 195 boxes
+        are 60 kB; read by five boxes every 0.8 s they were 19 MB a minute between data centres.
+        """
+        last = self._last
+        if last is not None and self._is_calm:
+            _, revision = await self._store.list_all(OWN_KIND, after=AFTER_BOXES)
+            if revision == last.revision:
+                return last
+        listing = await self._read_all()
+        self._is_calm = last is not None and listing.revision == last.revision
+        self._last = listing
+        return listing
+
+    async def _read_all(self) -> SharedListing:
         objects, revision = await self._store.list_all(OWN_KIND)
         boxes: dict[str, Box] = {}
         marks: dict[str, int] = {}
--- a/wharftiller/platform/store.py
+++ b/wharftiller/platform/store.py
@@ -89,7 +89,11 @@
         return HttpClient(self._transport, self._address)
 
     async def list_all(
-        self, kind: str, client: HttpClient | None = None, timeout_s: float = CALL_TIMEOUT_S
+        self,
+        kind: str,
+        client: HttpClient | None = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+        after: str = "",
     ) -> tuple[dict[str, StoredObject], int]:
         """Return all objects of a kind by name, and the revision they stand at.
 
@@ -97,9 +101,11 @@
         ----------
         client : HttpClient or None
             A connection of its own, where a large answer must not hold up other calls.
+        after : str
+            Only objects whose names follow it are returned.
         """
         found: dict[str, StoredObject] = {}
-        query = ""
+        query = f"?after={quote(after)}" if after else ""
         while True:
             path = f"/v1/objects/{kind}{query}"
             status, value = await self._call_on(
