Have a starting box believe a neighbour only as far as that one has read lately

Change: neighbours tell the age of the newest read that they know; only what is young enough for the bound spares the own lists; the reader is asked at once, tells what it knows also before it lists the box, and a silent one is not waited for. Before and after: test_it_believes_no_seed_that_is_parted_from_the_platform, failing before (silent reader), passes with both.

--- a/wharftiller/daemons/sessions/membership/box_server.py
+++ b/wharftiller/daemons/sessions/membership/box_server.py
@@ -28,9 +28,6 @@
 START_S = 2.0
 """Time for a box to start, in seconds: one that stops is passed over for its grace and this."""
 
-NEVER_READ_S = 3600.0
-"""Age told of a read that never was, in seconds."""
-
 
 class BoxServer:
     """Answers other boxes' questions.
@@ -109,7 +106,7 @@
         return {
             "incarnation": self._directory.incarnation,
             "platform": self._directory.platform_answers,
-            "read_age_ms": self._read_age_ms(),
+            "read_age_ms": self._directory.read_age_ms(),
             "read": state.leases.read_from_platform,
             "revision": record.revision,
             "record": record_to_json(record) if newer else None,
@@ -124,10 +121,6 @@
             raise BadRequestError("a leaving box names itself; run one version")
         await self._links.leave(value["box"], self._grace_s + START_S)
 
-    def _read_age_ms(self) -> int:
-        age_s = min(trio.current_time() - self._directory.platform_read_at, NEVER_READ_S)
-        return int(age_s * 1000) + 1
-
     def _heard(self) -> list[str]:
         """Return the primaries that answered lately, and not through another box."""
         now = trio.current_time()
--- a/wharftiller/daemons/sessions/membership/boxes.py
+++ b/wharftiller/daemons/sessions/membership/boxes.py
@@ -40,6 +40,9 @@
 WORD_TIMEOUT_S = 1.5
 """Time a box has to give its word, in seconds; it may first let its writes end."""
 
+NEVER_READ_S = 3600.0
+"""Age told of a read that never was, in seconds."""
+
 HEARD_RECENT_S = 1.0
 """A primary that answered within this time counts as heard, in seconds."""
 
@@ -205,6 +208,11 @@
                 f"{box.name} answered a round with nonsense: {error!r}. Run one version everywhere"
             ) from None
 
+    def read_age_ms(self) -> int:
+        """Return the age of the newest read of the platform that is known, in milliseconds."""
+        age_s = min(trio.current_time() - self.platform_read_at, NEVER_READ_S)
+        return int(age_s * 1000) + 1
+
     def live(self) -> list[str]:
         """Return the other boxes taken to be alive."""
         if self.replies:
--- a/wharftiller/daemons/sessions/membership/neighbours.py
+++ b/wharftiller/daemons/sessions/membership/neighbours.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, Any
 
 import attrs
@@ -30,6 +31,16 @@
 LEARN_AGAIN_S = 0.5
 """Time between questions to neighbours while nothing is configured, in seconds."""
 
+CURRENT_PART = 0.6
+"""What is left beside a box's own list of a configuration (0.4), as such a part."""
+
+CURRENT_LESS_S = 1.0
+"""Time by which what a neighbour tells must be younger than that to count as current, in seconds.
+
+A reader that turns out to be silent has 0.7 s to answer and is looked at every 0.25 s; then the
+box that starts lists for itself, and still has the configuration in force in time.
+"""
+
 FETCH_PART = 0.3
 """Time for a fetch, as a part of that within which a configuration is in force.
 
@@ -63,6 +74,8 @@
         self._seeds = seeds
         self._decode_configuration = decode_configuration
         self._fetch_timeout_s = FETCH_PART * bounds.configuration_in_force_s
+        self._current_age_s = CURRENT_PART * bounds.configuration_in_force_s - CURRENT_LESS_S
+        self._read_at = -math.inf
         self._nursery = nursery
         self._fetching = False
         self._fetch_failed = False
@@ -78,6 +91,11 @@
         """Whether this box knows a configuration and endpoints."""
         return self._state.version > 0 and bool(self._state.endpoints.rows)
 
+    @property
+    def is_current(self) -> bool:
+        """Whether a neighbour told this box what was read from the platform lately."""
+        return trio.current_time() - self._read_at < self._current_age_s
+
     def known(self, asked: Any) -> dict[str, Any]:
         """Return what another box may learn from this one, as JSON.
 
@@ -108,6 +126,7 @@
                 else None
             ),
             "boxes": self._directory.told_boxes(),
+            "read_age_ms": self._directory.read_age_ms(),
         }
 
     async def learn_at_start(self) -> None:
@@ -149,6 +168,7 @@
         if self._fetching:
             return
         self._fetching = True
+        asked_at = trio.current_time()
         try:
             known = await self._directory.fetch_known(
                 address, self._state.knowledge, self._fetch_timeout_s
@@ -157,9 +177,9 @@
             self._fetching = False
         self._fetch_failed = known is None
         if known is not None:
-            self._take(address, known)
+            self._take(address, known, asked_at)
 
-    def _take(self, address: str, known: dict[str, Any]) -> None:
+    def _take(self, address: str, known: dict[str, Any], asked_at: float) -> None:
         configuration = entries = None
         try:
             if known["configuration"] is not None:
@@ -168,9 +188,11 @@
                 entries = [EndpointEntry(**each) for each in known["endpoints"]]
             revision = int(known["endpoints_revision"])
             boxes = [Box(**each) for each in known["boxes"]]
+            read_at = asked_at - int(known["read_age_ms"]) / 1000
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             self._state.log.event("neighbour_not_understood", other=address, why=repr(error))
             return
+        self._read_at = max(self._read_at, read_at)
         if configuration is not None:
             self._state.take_configuration(configuration, f"box {address}")
         if entries is not None:
--- a/wharftiller/daemons/sessions/membership/readers.py
+++ b/wharftiller/daemons/sessions/membership/readers.py
@@ -115,6 +115,13 @@
 class ReaderClient:
     """Asks readers for what they read.
 
+    Attributes
+    ----------
+    newer_at : str or None
+        Address of a reader that knows more than this box.
+    is_silent : bool
+        Whether the last one asked did not answer, or had read nothing lately.
+
     Parameters
     ----------
     take : callable
@@ -135,6 +142,7 @@
         self._list_revision = 0
         self._boxes: dict[str, Box] = {}
         self.newer_at: str | None = None
+        self.is_silent = False
 
     @property
     def data_centre(self) -> str:
@@ -193,11 +201,17 @@
             return self._take_answer(reader, value, asked_at)
         except (ExchangeError, BadRequestError) as error:
             self._state.log.event("reader_did_not_answer", other=reader.name, why=str(error))
+            self.is_silent = True
             return False
 
     def _take_answer(self, reader: Box, value: Any, asked_at: float) -> bool:
         try:
-            if not value["read"] or not value["listed"]:
+            if not value["read"]:
+                self.is_silent = True
+                return False
+            newer = self._state.knowledge.lacks(Knowledge.from_json(value["knows"]))
+            self.newer_at = reader.address if newer else None
+            if not value["listed"]:
                 return False
             # The reader's age counts back from an answer that came after the question.
             read_at = asked_at - float(value["age_ms"]) / 1000
@@ -209,15 +223,15 @@
             if value["boxes"] is not None:
                 self._boxes = {each["name"]: Box(**each) for each in value["boxes"]}
                 self._list_revision = int(value["list_revision"])
-            newer = self._state.knowledge.lacks(Knowledge.from_json(value["knows"]))
             self._state.positions.take(value["points"], asked_at)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise BadRequestError(
                 f"{reader.name} told nonsense: {error!r}; run one version"
             ) from None
-        self.newer_at = reader.address if newer else None
         self._directory.platform_read_at = max(self._directory.platform_read_at, read_at)
         listing = SharedListing(record, dict(self._boxes))
         if value["revision"] == record.revision and not self._take(listing, read_at):
             return False
-        return trio.current_time() - read_at < READ_FRESH_S
+        is_fresh = trio.current_time() - read_at < READ_FRESH_S
+        self.is_silent = not is_fresh
+        return is_fresh
--- a/wharftiller/daemons/sessions/membership/shared_reads.py
+++ b/wharftiller/daemons/sessions/membership/shared_reads.py
@@ -130,13 +130,14 @@
     def _is_told(self) -> bool:
         """Whether other boxes tell this one what they read, or are soon to do so.
 
-        A box that has just read waits for its reader's first answer if it knows what a
-        neighbour told it, or if the whole deployment starts for the first time.
+        A box that has just read waits for a reader to list it, unless that is silent, if a
+        neighbour told it what is current, or if the whole deployment starts for the first time.
+        A box that starts beside a cut may hear from one that was parted for long.
         """
         if self._rounds.renewed:
             return True
         is_new = trio.current_time() - self._started_at < FIRST_ANSWER_S
-        knows = self._first_start or self._neighbours.has_learned
+        knows = self._first_start or (self._neighbours.is_current and not self._readers.is_silent)
         return is_new and knows and self._directory.platform_answers
 
     async def _read(self) -> None:
@@ -148,7 +149,11 @@
         self._platform_answered(True)
         self._desk.note(listing, asked_at)
         self._retirement.look(self._listings.others(listing), asked_at)
+        was_unlisted = self._directory.listed_since is None
         self._listings.take(listing, asked_at)
+        if was_unlisted and self._readers.applies:
+            # The reader is asked at once: what it knows is needed before it lists this box.
+            self._state.check_soon.set()
         known_age_s = asked_at - self._directory.platform_read_at
         alone = self.reads_for_others or not self._rounds.renewed
         if alone or known_age_s > self._pace.known_s:
--- a/wharftiller/tests/platform/test_starts.py
+++ b/wharftiller/tests/platform/test_starts.py
@@ -7,9 +7,10 @@
 import pytest
 import trio
 
+from wharftiller.core.sessions.bounds import PlatformBounds
 from wharftiller.daemons.sessions.membership import readers
 from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
-from wharftiller.tests.platform.world import World, run_in_world, write_until_done
+from wharftiller.tests.platform.world import STORE_IP, World, run_in_world, write_until_done
 
 BOXES = 24
 
@@ -30,6 +31,9 @@
 NO_READER = 12
 """Number of a tenth box that does not become the reader of its data centre."""
 
+READER = "box-4"
+"""The reader of that data centre."""
+
 
 class TestManyAtOnce:
     def test_they_ask_each_other_little(self, monkeypatch: pytest.MonkeyPatch) -> None:
@@ -62,6 +66,31 @@
             caller = await world.call(box, "primary")
             assert (await caller.ask("WRITE seat1 x"))[0] == "ROW written"
 
+        run_in_world(story, boxes=9, bounds=PlatformBounds(configuration_in_force_s=6.0))
+
+    @pytest.mark.parametrize("reader_answers", [True, False])
+    def test_it_believes_no_seed_that_is_parted_from_the_platform(
+        self, reader_answers: bool, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """The seeds still have a configuration that was replaced long ago."""
+        monkeypatch.setattr(readers, "MANY_BOXES", 4)
+
+        async def story(world: World) -> None:
+            await trio.sleep(5)
+            seeds = [world.boxes["box-1"].ip, world.boxes["box-2"].ip]
+            others = [box.ip for box in world.boxes.values() if box.ip not in seeds]
+            world.network.cut(seeds, [*others, STORE_IP])
+            if not reader_answers:
+                reader = next(box for box in world.boxes.values() if box.name == READER)
+                world.network.cut([f"10.1.0.{NO_READER}"], [reader.ip])
+            document = world.store.spec("config", "main")
+            world.store.set("config", "main", {**document, "Version": 7})
+            await trio.sleep(PlatformBounds().configuration_in_force_s)
+            box = await world.start_box(NO_READER)
+            await trio.sleep(1.2)
+            assert box.process.proxy is not None
+            assert box.process.proxy.state.version == 7
+
         run_in_world(story, boxes=9)
 
 
