Ask homes only whether they hear a primary, and tell boxes only how their list changed

A home that did not hear a primary asked all 194 others, again every 0.15 s while another heard it; each word of a new record went to all; and while boxes rolled, each reader told its 38 askers the whole list, 23 kB, for every change. Change: homes ask the group's homes, a second apart where another hears it; new records are told to the homes of the groups concerned; readers tell changes of the list. Whether a box answers is noted only when it was asked, so that rounds among some log nothing of the others.

--- a/wharftiller/daemons/sessions/homes/homes.py
+++ b/wharftiller/daemons/sessions/homes/homes.py
@@ -12,7 +12,7 @@
 from wharftiller.core.sessions.homes import HomePlan, homes_of, plan_homes
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Collection, Iterable
 
     from wharftiller.daemons.sessions.membership.box import Box
     from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
@@ -93,6 +93,17 @@
             self._known_everywhere[group] = known
         return known
 
+    def others_of(self, groups: Iterable[str]) -> list[Box] | None:
+        """Return the other boxes that are homes of ``groups``; None if every box is one."""
+        found: dict[str, Box] = {}
+        for group in groups:
+            names = self.all_homes(group)
+            if names is None:
+                return None
+            boxes = self._directory.boxes
+            found.update((name, boxes[name]) for name in names if name in boxes)
+        return list(found.values())
+
     def may_run_any(self) -> bool:
         """Return whether other boxes may pass statements of some group to this one."""
         homes = map(self._homes, self._state.configuration.groups)
--- a/wharftiller/daemons/sessions/leadership/changes.py
+++ b/wharftiller/daemons/sessions/leadership/changes.py
@@ -12,9 +12,12 @@
 from wharftiller.core.leadership.record import Leading, Moving
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from wharftiller.core.leadership.record import LeadershipRecord
     from wharftiller.core.sessions.endpoints import EndpointRow
     from wharftiller.daemons.sessions.connections.probes import Prober
+    from wharftiller.daemons.sessions.homes.homes import Homes
     from wharftiller.daemons.sessions.leadership.record_writer import RecordWriter
     from wharftiller.daemons.sessions.leadership.stopping import BoxStopper
     from wharftiller.daemons.sessions.leadership.successors import Successors
@@ -55,6 +58,7 @@
         self,
         state: SharedState,
         directory: BoxDirectory,
+        homes: Homes,
         writer: RecordWriter,
         stopper: BoxStopper,
         successors: Successors,
@@ -63,6 +67,7 @@
     ) -> None:
         self._state = state
         self._directory = directory
+        self._homes = homes
         self._writer = writer
         self._stopper = stopper
         self._successors = successors
@@ -119,9 +124,17 @@
         for group in sorted(answering):
             record = record.with_group(group, record.moving[group].old)
         await self._writer.write(record)
-        await self._directory.tell_record(self._state.leases.record)
+        await self._tell(answering)
         return True
 
+    async def _tell(self, groups: Iterable[str]) -> None:
+        """Tell the boxes that run statements of ``groups`` of the record as it stands now.
+
+        The others pass them on, and hear of it from their readers within a second.
+        """
+        homes = self._homes.others_of(groups)
+        await self._directory.tell_record(self._state.leases.record, homes)
+
     async def _lost_that_answer(self, record: LeadershipRecord) -> list[str]:
         """Ask every lost primary once more; return the groups whose answers."""
         answering: list[str] = []
@@ -208,7 +221,7 @@
         return accepted
 
     async def _record_led(self, record: LeadershipRecord, led: dict[str, Leading]) -> None:
-        """Record the new primaries, tell every box, and demote the old ones."""
+        """Record the new primaries, tell those who use them, and demote the old ones."""
         moved = record.moving
         for group, leading in led.items():
             record = record.with_group(group, leading)
@@ -221,6 +234,6 @@
                 self._state.log.event("record_write_unanswered", why=str(error))
                 await trio.sleep(ASK_AGAIN_S)
         self._state.check_soon.set()
-        await self._directory.tell_record(self._state.leases.record)
+        await self._tell(led)
         for group, leading in led.items():
             self._prober.demote_soon(moved[group].old.endpoint, leading.term)
--- a/wharftiller/daemons/sessions/leadership/mover.py
+++ b/wharftiller/daemons/sessions/leadership/mover.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING
 
 import attrs
@@ -26,6 +27,7 @@
     from wharftiller.daemons.sessions.leadership.changes import ChangeRunner
     from wharftiller.daemons.sessions.leadership.record_writer import RecordWriter
     from wharftiller.daemons.sessions.leadership.successors import Successors
+    from wharftiller.daemons.sessions.membership.box import Box
     from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
     from wharftiller.daemons.sessions.state import SharedState
 
@@ -41,6 +43,12 @@
 FIRST_ALL_S = 2.0
 """Time after its start for which a box wants every group in the first record, in seconds."""
 
+HEARD_ELSEWHERE_S = 1.0
+"""Time for which a primary that another box hears is left alone, in seconds.
+
+Beside a cut every home on the other side would ask all homes again every 0.15 s.
+"""
+
 MOST_TURNS = 8
 """Boxes that start a change one after the other; all further ones start together."""
 
@@ -75,6 +83,7 @@
         self._successors = successors
         self._runner = runner
         self._seen: _Seen | None = None
+        self._heard_elsewhere_at: dict[str, float] = {}
         self._started_at = trio.current_time()
 
     async def run(self) -> None:
@@ -156,7 +165,7 @@
         planned = row is not None and must_leave(row, turn, now)
         if planned:
             best = best_candidate(await self._successors.candidates(group, leading.endpoint))
-        elif is_lost(row, turn, now):
+        elif is_lost(row, turn, now) and not self._was_heard_elsewhere(group, now):
             best = await self._successor_of_lost(group, leading.endpoint, turn)
         else:
             return None
@@ -175,19 +184,22 @@
     async def _successor_of_lost(self, group: str, old: str, turn: int) -> Candidate | None:
         """Return who takes over from a primary that no box hears; None if one does.
 
-        The other boxes and the replicas are asked at once: each may take half a second.
+        Of the other boxes only the group's homes may hear it. They and the replicas are asked
+        at once: each may take half a second.
         """
         heard = False
+        asked = self._homes.others_of([group])
 
         async def ask_boxes() -> None:
             nonlocal heard
-            heard = await self._is_heard_elsewhere(old)
+            heard = await self._is_heard_elsewhere(group, old, asked)
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(ask_boxes)
             candidates = await self._successors.candidates(group, old)
         row = self._state.endpoints.rows.get(old)
-        all_answer = self._directory.boxes.keys() <= self._directory.replies.keys()
+        names = self._directory.boxes if asked is None else [box.name for box in asked]
+        all_answer = self._directory.replies.keys() >= set(names)
         if heard or not is_lost(row, turn, trio.current_time(), all_answer=all_answer):
             return None
         best = best_candidate(candidates)
@@ -195,6 +207,9 @@
             self._state.log.event("no_successor", group=group, old=old)
         return best
 
+    def _was_heard_elsewhere(self, group: str, now: float) -> bool:
+        return now - self._heard_elsewhere_at.get(group, -math.inf) < HEARD_ELSEWHERE_S
+
     def _turn(self, what: str) -> int:
         """Return how many boxes go before this one; those far back go together."""
         boxes = self._homes.all_homes(what) if what in self._state.leases.record.groups else None
@@ -202,10 +217,11 @@
             boxes = self._directory.live()
         return min(MOST_TURNS, turn_of(self._state.box, boxes, what))
 
-    async def _is_heard_elsewhere(self, endpoint: str) -> bool:
-        await self._directory.round(check=(endpoint,))
+    async def _is_heard_elsewhere(self, group: str, endpoint: str, asked: list[Box] | None) -> bool:
+        await self._directory.round(check=(endpoint,), among=asked)
         hearing = [n for n, reply in self._directory.replies.items() if endpoint in reply.hears]
         if hearing:
+            self._heard_elsewhere_at[group] = trio.current_time()
             self._state.log.event("primary_heard_elsewhere", endpoint=endpoint, others=hearing)
         return bool(hearing)
 
--- a/wharftiller/daemons/sessions/membership/boxes.py
+++ b/wharftiller/daemons/sessions/membership/boxes.py
@@ -90,6 +90,7 @@
         self.incarnation = box.incarnation
         self.list = BoxList(box, {})
         self._replies: dict[str, BoxReply] = {}
+        self._answering: set[str] = set()
         self.listed_since: float | None = None
         self.round_at = -math.inf
         self.platform_answers = False
@@ -122,6 +123,7 @@
         for name in self.boxes.keys() - boxes.keys():
             self._state.log.change("box_unlisted", other=name)
             self._replies.pop(name, None)
+            self._answering.discard(name)
         self.list = BoxList(self._box, boxes)
 
     async def round(
@@ -167,11 +169,11 @@
 
     def _note_contact(self, boxes: dict[str, Box], replies: dict[str, BoxReply]) -> None:
         for name in boxes:
-            known = name in self._replies
-            if name in replies and not known:
+            if name in replies and name not in self._answering:
                 self._state.log.change("box_answers", other=name)
-            elif name not in replies and known:
+            elif name not in replies and name in self._answering:
                 self._state.log.change("box_silent", other=name)
+        self._answering = self._answering - boxes.keys() | replies.keys()
         self._replies = replies
 
     async def _ask_round(
@@ -297,11 +299,10 @@
             return None
         return float(value.get("listed_ms") or 0) / 1000
 
-    async def tell_record(self, record: LeadershipRecord) -> None:
-        """Tell every other box of a new record."""
-        await self._tell(
-            "/peer/record", {"revision": record.revision, "record": record_to_json(record)}
-        )
+    async def tell_record(self, record: LeadershipRecord, boxes: list[Box] | None = None) -> None:
+        """Tell ``boxes``, every other one if None, of a new record."""
+        body = {"revision": record.revision, "record": record_to_json(record)}
+        await self._tell("/peer/record", body, boxes)
 
     async def tell_news(self, boxes: list[Box]) -> None:
         """Have ``boxes`` look for a newer configuration or list of endpoints."""
--- a/wharftiller/daemons/sessions/membership/readers.py
+++ b/wharftiller/daemons/sessions/membership/readers.py
@@ -45,6 +45,12 @@
 READ_FRESH_S = 2.5
 """Age beyond which a reader's read is not worth taking, in seconds: three of its pauses."""
 
+LISTS_KEPT = 16
+"""Lists of boxes from which a reader tells changes only; an older one is told whole.
+
+Boxes ask once a second, and lists are read every 0.8 s.
+"""
+
 ASKED_LATELY_S = 5.0
 """A box that has not asked its reader for so long counts as silent, in seconds."""
 
@@ -58,6 +64,28 @@
     list_revision: int = 0
 
 
+@attrs.frozen
+class ListChange:
+    """How the list of boxes came about from an older one.
+
+    Attributes
+    ----------
+    boxes : list of dict
+        The entries that are new or changed, as JSON.
+    gone : list of str
+        Names that are in the list no more.
+    """
+
+    boxes: list[dict[str, str]]
+    gone: list[str]
+
+    @classmethod
+    def between(cls, old: dict[str, Box], new: dict[str, Box]) -> ListChange:
+        """Return what leads from ``old`` to ``new``."""
+        changed = [attrs.asdict(box) for name, box in new.items() if old.get(name) != box]
+        return cls(changed, sorted(old.keys() - new.keys()))
+
+
 class ReaderDesk:
     """Answers boxes that ask this one for its reads."""
 
@@ -65,6 +93,8 @@
         self._state = state
         self._incarnation = incarnation
         self._last = LastRead()
+        self._lists: dict[int, dict[str, Box]] = {}
+        self._changes: dict[int, ListChange] = {}
         self.asked_at: dict[str, float] = {}
 
     def note(self, listing: SharedListing, asked_at: float) -> None:
@@ -72,6 +102,10 @@
         known = self._last.listing
         if known is None or known.boxes != listing.boxes:
             self._last.list_revision = listing.revision
+            self._lists[listing.revision] = listing.boxes
+            while len(self._lists) > LISTS_KEPT:
+                del self._lists[min(self._lists)]
+            self._changes.clear()
         self._last.listing = listing
         self._last.asked_at = asked_at
 
@@ -102,15 +136,31 @@
             "record": None,
             "list_revision": self._last.list_revision,
             "boxes": None,
+            "gone": [],
+            "whole": False,
             "knows": self._state.knowledge.to_json(),
             "points": self._state.positions.told(),
         }
         if listing.record.revision > revision:
             told["record"] = record_to_json(listing.record)
         if self._last.list_revision != list_revision:
-            told["boxes"] = [attrs.asdict(box) for box in listing.boxes.values()]
+            change = self._change_since(list_revision, listing.boxes)
+            told["boxes"] = change.boxes
+            told["gone"] = change.gone
+            told["whole"] = list_revision not in self._lists
         return told
 
+    def _change_since(self, list_revision: int, boxes: dict[str, Box]) -> ListChange:
+        """Return what leads from the list of a revision, empty if unknown, to ``boxes``.
+
+        While boxes start and stop, 38 others ask one reader for each new list of 195.
+        """
+        change = self._changes.get(list_revision)
+        if change is None:
+            change = ListChange.between(self._lists.get(list_revision, {}), boxes)
+            self._changes[list_revision] = change
+        return change
+
 
 class ReaderClient:
     """Asks readers for what they read.
@@ -221,7 +271,11 @@
             elif record.revision > value["revision"]:
                 record = attrs.evolve(record, revision=value["revision"])
             if value["boxes"] is not None:
-                self._boxes = {each["name"]: Box(**each) for each in value["boxes"]}
+                boxes = {} if value["whole"] else dict(self._boxes)
+                for name in value["gone"]:
+                    boxes.pop(name, None)
+                boxes.update((each["name"], Box(**each)) for each in value["boxes"])
+                self._boxes = boxes
                 self._list_revision = int(value["list_revision"])
             self._state.positions.take(value["points"], asked_at)
         except (KeyError, TypeError, ValueError, AttributeError) as error:
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -153,7 +153,14 @@
         successors = Successors(self.state, self._prober)
         stopper = BoxStopper(self.state, self._directory, marks, self._box_server, shared, listings)
         changes = ChangeRunner(
-            self.state, self._directory, writer, stopper, successors, promotions, self._prober
+            self.state,
+            self._directory,
+            self._homes,
+            writer,
+            stopper,
+            successors,
+            promotions,
+            self._prober,
         )
         self._mover = PrimaryMover(
             self.state, self._directory, self._homes, writer, successors, changes
--- a/wharftiller/tests/platform/test_changes_under_failures.py
+++ b/wharftiller/tests/platform/test_changes_under_failures.py
@@ -2,17 +2,22 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 import trio
 
 from standins.object_store import Mood
 from wharftiller.core.leadership.lease import LEASE_S, LISTING_S
+from wharftiller.daemons.sessions.membership.box import Box
+from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
 from wharftiller.daemons.sessions.membership.retirement import SILENT_S
 from wharftiller.tests.platform.world import (
     STORE,
     STORE_IP,
     World,
     fences_rise,
+    make_group,
     run_in_world,
     write_until_done,
 )
@@ -20,6 +25,11 @@
 MARKED_WITHIN_S = SILENT_S + 3.0
 """Time within which a dead box is marked: noticed by a round, then a read every 0.8 s."""
 
+CUT_S = 7.0
+
+MOST_ASKED = 6
+"""Questions to other boxes in such a cut: 46 to all others before, 2 to homes since."""
+
 PLANNED_GAP_S = 1.5
 """Longest time without writes in a planned change, in seconds: the promotion (0.3 s) and looks."""
 
@@ -223,6 +233,35 @@
 
         run_in_world(story)
 
+    def test_homes_beside_a_cut_ask_other_homes_and_seldom(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """One home of three cannot reach the primary, which the other two hear."""
+        post, asked = BoxDirectory.post, []
+
+        async def noted(directory: BoxDirectory, box: Box, path: str, *args: Any) -> Any:
+            if path == "/peer/round":
+                asked.append(box.name)
+            return await post(directory, box, path, *args)
+
+        async def story(world: World) -> None:
+            await trio.sleep(5)
+            group = world.groups[0]
+            homes = [
+                box
+                for box in world.boxes.values()
+                if box.process.proxy is not None
+                and box.process.proxy.state.serves_group(group.name)
+            ]
+            monkeypatch.setattr(BoxDirectory, "post", noted)
+            world.network.cut([homes[0].ip], [group.primary.address.partition(":")[0]])
+            await trio.sleep(CUT_S)
+            assert set(asked) <= {home.name for home in homes}
+            assert len(asked) <= MOST_ASKED
+            assert not group.promotions
+
+        run_in_world(story, boxes=24, groups=[make_group(max_connections=20)])
+
     def test_a_relay_connects_to_endpoints_only(self) -> None:
         async def story(world: World) -> None:
             for asked in (f"RELAY {STORE}", "RELAY 10.1.0.2:3", "HELLO", "RELAY " + "9" * 200):
