Pass statements to a home that has a lease where another has none

Cause: a box that starts while the platform is away has no lease until that is back. If it was a home it was chosen again 3 s after its end, held each statement for 0.7 s and refused it, while the other home and the spare of its data centre kept their leases by rounds. Ruled out: waiting longer at the home; it cannot get a lease (rounds count only for a box that has read the platform). Change: a home tells with its answer that it lacks a lease; a statement that it did not run goes to the next home or spare, and others go there for 1 s; a home's own callers are passed on likewise; a primary is not expected soon by a box without any lease that the platform does not answer. Before and after (virtual time, 24 boxes): ten writes and ten transactions in the outage, by the home's callers and another box's: refused -> all taken within 2 s (test, failing before both ways).

--- a/wharftiller/daemons/sessions/homes/forwarded.py
+++ b/wharftiller/daemons/sessions/homes/forwarded.py
@@ -134,10 +134,11 @@
         group = asked.route.group
         primary = self._state.startable(group)
         usable = primary is not None and not primary.is_suspect(trio.current_time())
+        lacks = self._state.lacks_lease(group)
         if session is None:
-            return ForwardedReply(reply, asked.own_write, asked.unsettled, usable)
+            return ForwardedReply(reply, asked.own_write, asked.unsettled, usable, lacks)
         unsettled = group in session.unsettled
-        return ForwardedReply(reply, session.own_writes.get(group), unsettled, usable)
+        return ForwardedReply(reply, session.own_writes.get(group), unsettled, usable, lacks)
 
     def end(self, value: Any) -> dict[str, Any]:
         """Roll back a transaction that its box gave up."""
--- a/wharftiller/daemons/sessions/homes/forwarding.py
+++ b/wharftiller/daemons/sessions/homes/forwarding.py
@@ -42,6 +42,12 @@
     """The transaction did not begin at a home; another may be asked."""
 
 
+def _is_for_another(told: ForwardedReply) -> bool:
+    """Return whether a home ran nothing because it lacks a lease that another may have."""
+    refusal = told.reply.refusal
+    return told.lacks_lease and refusal is not None and refusal.has_not_run
+
+
 class Forwarder:
     """Has home boxes run the statements of groups that this box does not serve itself."""
 
@@ -72,10 +78,14 @@
     async def _single(self, routed: RoutedStatement) -> Reply | None:
         may_have_run = False
         why = "no box that serves it answers"
+        refusal: Reply | None = None
         tried: set[str] = set()
         for home in self._homes_to_try(routed.route.group, tried):
             try:
-                return await self._ask(home, routed, self._message(routed))
+                told = await self._ask(home, routed, self._message(routed))
+                if not _is_for_another(told):
+                    return told.reply
+                refusal = told.reply
             except NotSentError as error:
                 why = str(error)
             except ExchangeError as error:
@@ -85,7 +95,9 @@
                 may_have_run = True
         if self._homes.choose(routed.route.group, tried) is None:
             # This box is a home, or the next one with those it asked gone.
-            return None
+            return refusal
+        if refusal is not None:
+            return refusal
         kind = RefusalKind.ROLLED_BACK if may_have_run else RefusalKind.NO_CAPACITY
         raise StatementRefusedError(kind, why, Cause.BOX_LOST)
 
@@ -157,7 +169,7 @@
         wrote_before = transaction.wrote
         transaction.wrote |= routed.writes
         try:
-            reply = await self._ask(home, routed, message)
+            told = await self._ask(home, routed, message)
         except NotSentError as error:
             if begins:
                 transaction.wrote = wrote_before
@@ -171,6 +183,10 @@
             raise StatementRefusedError(
                 RefusalKind.ROLLED_BACK, str(error), Cause.BOX_LOST
             ) from error
+        reply = told.reply
+        if begins and _is_for_another(told):
+            transaction.wrote = wrote_before
+            raise _NotBegunError(f"{home.name} may not use the primary now")
         match reply.state:
             case SessionState.IDLE:
                 routed.session.transaction = None
@@ -231,11 +247,13 @@
             unsettled=group in session.unsettled,
         )
 
-    async def _ask(self, home: Box, routed: RoutedStatement, message: ForwardedStatement) -> Reply:
-        """Return the home's reply; raise as `HomeLinks.ask` does."""
+    async def _ask(
+        self, home: Box, routed: RoutedStatement, message: ForwardedStatement
+    ) -> ForwardedReply:
+        """Return what the home told; raise as `HomeLinks.ask` does."""
         told = await self._links.ask(home, message, routed.until + MARGIN_S)
         self._take(routed, told, home)
-        return told.reply
+        return told
 
     def _take(self, routed: RoutedStatement, told: ForwardedReply, home: Box) -> None:
         group = routed.route.group
@@ -245,6 +263,10 @@
         elif told.own_write is not None:
             session.wrote(group, told.own_write)
         self._state.told_usable[group] = told.primary_usable
+        if told.lacks_lease:
+            self._homes.note_lacking(home.name)
+        else:
+            self._homes.note_able(home.name)
         self._state.figures.forwarded[home.name, told.reply.outcome] += 1
 
     @staticmethod
--- a/wharftiller/daemons/sessions/homes/homes.py
+++ b/wharftiller/daemons/sessions/homes/homes.py
@@ -26,6 +26,14 @@
 """Boxes after the homes of a group in each data centre that keep leases in an outage as well."""
 
 
+LACKING_S = 1.0
+"""Time for which a home that may not use a primary is passed over for others, in seconds.
+
+A box that starts while the platform is away has no lease until that is back, for 6 s and more;
+the data centre's other home and its spare have.
+"""
+
+
 @attrs.frozen
 class _GroupHomes:
     """The homes of one group in this data centre.
@@ -34,6 +42,8 @@
     ----------
     near : tuple of str
         Their names, best first.
+    spares : tuple of str
+        The boxes that follow them.
     is_home : bool
         Whether this box is one.
     chosen : str or None
@@ -44,6 +54,7 @@
 
     plan: HomePlan
     near: tuple[str, ...]
+    spares: tuple[str, ...]
     is_home: bool
     chosen: str | None
     is_spare: bool = False
@@ -60,6 +71,7 @@
         self._state = state
         self._directory = directory
         self._avoided_until: dict[str, float] = {}
+        self._lacking_until: dict[str, float] = {}
         self._known: dict[str, _GroupHomes] = {}
         self._known_everywhere: dict[str, list[str]] = {}
         self._known_list = directory.list
@@ -114,7 +126,29 @@
         homes = self._homes(group)
         if tried:
             homes = self._work_out(group, tried)
-        return None if homes.chosen is None else self._directory.boxes[homes.chosen]
+        chosen = homes.chosen
+        if self._lacking_until or homes.is_home:
+            chosen = self._with_lease(group, homes, tried)
+        return None if chosen is None else self._directory.boxes[chosen]
+
+    def _with_lease(self, group: str, homes: _GroupHomes, tried: Collection[str]) -> str | None:
+        """Return the home to pass a statement to, one that is not known to lack a lease if any."""
+        own = self._state.box
+        if homes.is_home and (homes.plan.homes is None or not self._state.lacks_lease(group)):
+            return homes.chosen
+        now = trio.current_time()
+        self._lacking_until = {n: until for n, until in self._lacking_until.items() if until > now}
+        passed_over = {own, *self._lacking_until, *tried}
+        able = [n for n in (*homes.near, *homes.spares) if n not in passed_over]
+        return ranked(own + group, able)[0] if able else homes.chosen
+
+    def note_lacking(self, name: str) -> None:
+        """Note that a home may not use a primary that others may."""
+        self._lacking_until[name] = trio.current_time() + LACKING_S
+
+    def note_able(self, name: str) -> None:
+        """Note that a home may use its primary."""
+        self._lacking_until.pop(name, None)
 
     def avoid(self, name: str, for_s: float = AVOIDED_S) -> None:
         """Pass over a box for a while: it did not answer, or it is stopping."""
@@ -149,11 +183,11 @@
         own = self._state.box
         order = ranked(group, self._near(tried))
         near = tuple(plan.among(order))
+        spares = tuple(order[len(near) : len(near) + SPARE_HOMES])
         if plan.homes is None or own in near:
-            return _GroupHomes(plan, near, True, None)
+            return _GroupHomes(plan, near, spares, True, None)
         # Boxes spread over the homes; each keeps to one while it answers.
-        is_spare = own in order[len(near) : len(near) + SPARE_HOMES]
-        return _GroupHomes(plan, near, False, ranked(own + group, near)[0], is_spare)
+        return _GroupHomes(plan, near, spares, False, ranked(own + group, near)[0], own in spares)
 
     def _plan(self, group: str) -> HomePlan:
         limits = self._state.configuration.groups.get(group)
--- a/wharftiller/daemons/sessions/membership/shared_reads.py
+++ b/wharftiller/daemons/sessions/membership/shared_reads.py
@@ -181,6 +181,7 @@
 
     def _platform_answered(self, answers: bool, why: str = "") -> None:
         self._directory.platform_answers = answers
+        self._state.platform_away = not answers
         if self._platform_answers != answers:
             self._platform_answers = answers
             self._state.log.change("platform_back" if answers else "platform_lost", why=why)
--- a/wharftiller/daemons/sessions/state.py
+++ b/wharftiller/daemons/sessions/state.py
@@ -68,6 +68,8 @@
         Whether this box runs a group's statements by itself; `Homes` sets it.
     change_s : float
         How long changes of primary took lately, from the first record to the last, in seconds.
+    platform_away : bool
+        Whether the platform did not answer this box's last read.
     told_usable : dict of str to bool
         For groups whose statements are passed on, whether their home said last that it
         can use the primary.
@@ -98,6 +100,7 @@
         self.check_soon = trio.Event()
         self.serves_group: Callable[[str], bool] = lambda group: True
         self.told_usable: dict[str, bool] = {}
+        self.platform_away = False
         self.figures = Figures()
         log.counts = self.figures.events
 
@@ -138,6 +141,14 @@
             return None
         return row
 
+    def lacks_lease(self, group: str) -> bool:
+        """Return whether a primary is recorded that this box may not use, though others may.
+
+        So it is for a box that starts while the platform is away.
+        """
+        leads = isinstance(self.leases.record.groups.get(group), Leading)
+        return leads and self.leases.may_start(group, trio.current_time()) is None
+
     def may_acknowledge(self, row: EndpointRow) -> bool:
         """Return whether ``row`` surely is the only primary of its group now."""
         return self.leases.may_acknowledge(row.entry.group, row.name, trio.current_time())
@@ -168,7 +179,9 @@
                 if row is not None and row.unreachable_since is not None:
                     return now - row.unreachable_since < PRIMARY_EXPECTED_S
                 lease = self.leases.last_lease(group)
-                return lease is None or now - lease.checked_at < LEASE_S + RECORD_EXPECTED_S
+                if lease is None:
+                    return not self.platform_away
+                return now - lease.checked_at < LEASE_S + RECORD_EXPECTED_S
             case None:
                 return True
 
--- a/wharftiller/edges/forwarded_json.py
+++ b/wharftiller/edges/forwarded_json.py
@@ -80,12 +80,15 @@
         What the session wrote by now; see `ForwardedStatement`.
     primary_usable : bool
         Whether that box can use the group's primary.
+    lacks_lease : bool
+        Whether it may not use it, though other boxes may.
     """
 
     reply: Reply
     own_write: LogPosition | None
     unsettled: bool
     primary_usable: bool
+    lacks_lease: bool = False
 
 
 def _to_text(text: str) -> str:
@@ -244,6 +247,7 @@
         "own_write": _position_to_json(told.own_write),
         "unsettled": told.unsettled,
         "primary_usable": told.primary_usable,
+        "lacks_lease": told.lacks_lease,
     }
 
 
@@ -267,7 +271,8 @@
         )
         own_write = _position_from_json(value["own_write"])
         usable = value["primary_usable"] is True
-        return ForwardedReply(reply, own_write, value["unsettled"] is True, usable)
+        lacks_lease = value["lacks_lease"] is True
+        return ForwardedReply(reply, own_write, value["unsettled"] is True, usable, lacks_lease)
     except (KeyError, TypeError, ValueError, AttributeError, IndexError) as error:
         raise BadRequestError(f"no reply to a statement: {error!r}; run one version") from None
 
--- a/wharftiller/tests/platform/test_outages.py
+++ b/wharftiller/tests/platform/test_outages.py
@@ -82,3 +82,33 @@
             assert await write_until_done(caller, "WRITE seat1 x", AVOIDED_S) < 1.0
 
         run_in_world(story, boxes=BOXES, groups=[make_group(max_connections=SCARCE)])
+
+    @pytest.mark.parametrize("caller_at", ["the home", "another box"])
+    def test_a_home_that_starts_again_leaves_writes_to_those_with_leases(
+        self, caller_at: str
+    ) -> None:
+        """It has no lease before the platform is back; the others renew theirs in rounds."""
+
+        async def story(world: World) -> None:
+            await trio.sleep(5)
+            (home,) = homes(world, "a")
+            other = next(
+                box
+                for box in world.boxes.values()
+                if box is not home and box.process.proxy.state.data_centre == "a"  # type: ignore[union-attr]
+            )
+            world.store.mood = Mood.AWAY
+            await world.kill_box(home)
+            home = await world.start_box(int(home.name.removeprefix("box-")))
+            await trio.sleep(AVOIDED_S + 1.0)
+            caller = await world.call(home if caller_at == "the home" else other, "primary")
+            started = trio.current_time()
+            for number in range(10):
+                assert (await caller.ask(f"WRITE seat{number} x"))[0] == "ROW written"
+                for text in ("BEGIN", f"WRITE seat{number} y", "COMMIT"):
+                    answer = await caller.ask(text)
+                    assert answer[-1].startswith("READY"), answer
+                    assert not answer[0].startswith("ERROR"), answer
+            assert trio.current_time() - started < 2.0
+
+        run_in_world(story, boxes=BOXES, groups=[make_group(max_connections=SCARCE)])
