Ask no further home once a statement's goal has passed

Change: another home is asked only within the route's latency goal, so a refusal comes after one hold at most beyond it. Ruled out: none needed.

--- a/wharftiller/daemons/sessions/homes/forwarding.py
+++ b/wharftiller/daemons/sessions/homes/forwarding.py
@@ -42,10 +42,16 @@
     """The transaction did not begin at a home; another may be asked."""
 
 
-def _is_for_another(told: ForwardedReply) -> bool:
-    """Return whether a home ran nothing because it lacks a lease that another may have."""
+def _is_for_another(told: ForwardedReply, routed: RoutedStatement) -> bool:
+    """Return whether a home ran nothing because it lacks a lease that another may have.
+
+    Where homes held the statement for its goal already, nobody is asked any more: in an outage
+    beside a cut none of them may have a lease.
+    """
     refusal = told.reply.refusal
-    return told.lacks_lease and refusal is not None and refusal.has_not_run
+    ran_nothing = refusal is not None and refusal.has_not_run
+    in_time = trio.current_time() < routed.arrived_at + routed.route.latency_goal_s
+    return told.lacks_lease and ran_nothing and in_time
 
 
 class Forwarder:
@@ -83,7 +89,7 @@
         for home in self._homes_to_try(routed.route.group, tried):
             try:
                 told = await self._ask(home, routed, self._message(routed))
-                if not _is_for_another(told):
+                if not _is_for_another(told, routed):
                     return told.reply
                 refusal = told.reply
             except NotSentError as error:
@@ -184,7 +190,7 @@
                 RefusalKind.ROLLED_BACK, str(error), Cause.BOX_LOST
             ) from error
         reply = told.reply
-        if begins and _is_for_another(told):
+        if begins and _is_for_another(told, routed):
             transaction.wrote = wrote_before
             raise _NotBegunError(f"{home.name} may not use the primary now")
         match reply.state:
