--- a/wharftiller/tests/platform/test_changes_under_failures.py
+++ b/wharftiller/tests/platform/test_changes_under_failures.py
@@ -38,6 +38,18 @@
 """Longest time without writes in a planned change, in seconds: the promotion (0.3 s) and looks."""
 
 
+def note_rounds(asked: list[str], monkeypatch: pytest.MonkeyPatch) -> None:
+    """Have every question in a round note in ``asked`` whom it goes to, from here on."""
+    post = BoxDirectory.post
+
+    async def noted(directory: BoxDirectory, box: Box, path: str, *args: Any) -> Any:
+        if path == "/peer/round":
+            asked.append(box.name)
+        return await post(directory, box, path, *args)
+
+    monkeypatch.setattr(BoxDirectory, "post", noted)
+
+
 class TestPlatformFailing:
     def test_an_outage_of_the_platform_stops_no_write(self) -> None:
         async def story(world: World) -> None:
@@ -241,12 +253,7 @@
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         """One home of three cannot reach the primary, which the other two hear."""
-        post, asked = BoxDirectory.post, []
-
-        async def noted(directory: BoxDirectory, box: Box, path: str, *args: Any) -> Any:
-            if path == "/peer/round":
-                asked.append(box.name)
-            return await post(directory, box, path, *args)
+        asked: list[str] = []
 
         async def story(world: World) -> None:
             await trio.sleep(5)
@@ -257,7 +264,7 @@
                 if box.process.proxy is not None
                 and box.process.proxy.state.serves_group(group.name)
             ]
-            monkeypatch.setattr(BoxDirectory, "post", noted)
+            note_rounds(asked, monkeypatch)
             world.network.cut([homes[0].ip], [group.primary.address.partition(":")[0]])
             await trio.sleep(CUT_S)
             assert set(asked) <= {home.name for home in homes}
@@ -270,12 +277,7 @@
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         """A box that is cut off may hold a lease; meanwhile others look whether to take over."""
-        post, asked = BoxDirectory.post, []
-
-        async def noted(directory: BoxDirectory, box: Box, path: str, *args: Any) -> Any:
-            if path == "/peer/round":
-                asked.append(box.name)
-            return await post(directory, box, path, *args)
+        asked: list[str] = []
 
         async def story(world: World) -> None:
             await trio.sleep(5)
@@ -288,7 +290,7 @@
             )
             others = [box.ip for box in world.boxes.values() if box is not cut]
             world.network.cut([cut.ip], [*others, STORE_IP])
-            monkeypatch.setattr(BoxDirectory, "post", noted)
+            note_rounds(asked, monkeypatch)
             world.kill_server(group.primary)
             await trio.sleep(LEASE_S + 6.0)
             assert len(group.promotions) == 1
