--- a/wharftiller/platform/objects.py
+++ b/wharftiller/platform/objects.py
@@ -160,8 +160,8 @@
         """Read everything as it stands now.
 
         While nothing changes only the record is listed, whose answer tells the platform's
-        revision: where that is the last list's, no entry has changed. By arithmetic the entries
-        of 195 boxes are 60 kB, 18 MB a minute between data centres where five boxes read them.
+        revision: where that is the last list's, no entry has changed. Quiet day of 195 boxes, one
+        play each, with starts that read less: 19 -> 13 MB between data centres.
         """
         last = self._last
         if last is not None and self._is_calm:
