Take as many callers as a box has room for; refuse the others at once, in one line a second

Change: the room follows from the limits stated (descriptors less those for files and less the connections of its own that the box holds and may yet open; memory), counted at the transport. Nearly full (0.9): not ready, so that the balancer passes the box over. Full: connections that said nothing go first, then who rests longest, then newcomers are refused once they have spoken (closing before that resets what they are told). A limit below what a box needs ends the start, naming what is needed. What is refused is counted, told once a second and a loss in `wharfctl report`.

Test first seen failing: boxes of 700 and 1,640 descriptors take 250 callers (they took 1).

--- a/wharftiller/core/sessions/figures.py
+++ b/wharftiller/core/sessions/figures.py
@@ -81,6 +81,8 @@
         By endpoint.
     allowances : collections.Counter
         Operations of workspaces with an allowance, by whether a token was asked for them in vain.
+    doors : collections.Counter
+        Callers' connections, by what came of them at the door.
     """
 
     answers: collections.Counter[AnswerLabels] = attrs.field(factory=collections.Counter)
@@ -90,6 +92,7 @@
     statements: collections.Counter[tuple[str, str]] = attrs.field(factory=collections.Counter)
     forwarded: collections.Counter[tuple[str, str]] = attrs.field(factory=collections.Counter)
     allowances: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    doors: collections.Counter[str] = attrs.field(factory=collections.Counter)
     connections: dict[str, ConnectionCounts] = attrs.field(factory=dict)
     events: collections.Counter[str] = attrs.field(factory=collections.Counter)
 
--- a/wharftiller/daemons/sessions/gauges.py
+++ b/wharftiller/daemons/sessions/gauges.py
@@ -14,11 +14,12 @@
     from collections.abc import Iterator
 
     from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
+    from wharftiller.daemons.sessions.serving.door import CallerDoor
     from wharftiller.daemons.sessions.state import SharedState
 
 
 def believed(
-    state: SharedState, directory: BoxDirectory, sessions: int, buckets: int
+    state: SharedState, directory: BoxDirectory, door: CallerDoor, buckets: int
 ) -> Iterator[Gauge]:
     """Yield every gauge."""
     now = trio.current_time()
@@ -26,7 +27,8 @@
     yield _plain(
         "endpoints_revision", "Platform revision of the endpoints known.", state.endpoints.revision
     )
-    yield _plain("sessions", "Callers' sessions open.", sessions)
+    yield _plain("sessions", "Callers' connections open.", len(door))
+    yield _plain("sessions_room", "Callers' connections that can be taken.", door.room)
     yield _plain("buckets_kept", "Workspaces whose tokens this box grants.", buckets)
     yield _plain(
         "record_revision", "Revision of the record of leadership.", state.leases.record.revision
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -38,6 +38,7 @@
 from wharftiller.daemons.sessions.membership.retirement import BoxRetirement
 from wharftiller.daemons.sessions.membership.shared_reads import SharedReads
 from wharftiller.daemons.sessions.serving.callers import SessionServer
+from wharftiller.daemons.sessions.serving.door import CallerDoor
 from wharftiller.daemons.sessions.serving.drain import LAST_MOMENT_S, Drain
 from wharftiller.daemons.sessions.serving.statements import StatementRunner
 from wharftiller.daemons.sessions.state import SharedState
@@ -48,6 +49,7 @@
     from collections.abc import Callable
 
     from wharftiller.core.sessions.bounds import PlatformBounds
+    from wharftiller.core.sessions.doors import BoxLimits
     from wharftiller.core.sessions.routes import SessionConfiguration
     from wharftiller.daemons.sessions.seams import (
         EndpointDialer,
@@ -94,6 +96,10 @@
     ----------
     decode_configuration : callable
         Turns a configuration's document into the configuration.
+    limits : BoxLimits
+        What this process may use.
+    open_streams : callable
+        Returns how many connections other than callers' are open.
     """
 
     def __init__(
@@ -107,6 +113,8 @@
         log: DecisionLog,
         decode_configuration: Callable[[Any], SessionConfiguration],
         nursery: trio.Nursery,
+        limits: BoxLimits,
+        open_streams: Callable[[], int],
     ) -> None:
         self._identity = identity
         self._shared = shared
@@ -129,7 +137,8 @@
         )
         gate = AllowanceGate(self.state, self._directory, keeper_links, self._keeper_desk)
         self._runner = StatementRunner(self.state, gate, forwarder)
-        self.sessions = SessionServer(self.state, self._runner)
+        self.door = CallerDoor(self.state, limits, open_streams)
+        self.sessions = SessionServer(self.state, self._runner, self.door)
         self._for_others = ForwardedDesk(self.state, gate)
         self._drain = Drain(self.sessions, self._for_others)
         desk = ReaderDesk(self.state, incarnation)
@@ -204,7 +213,7 @@
     @property
     def is_ready(self) -> bool:
         """Whether new sessions should come to this box."""
-        if self._unready or self._isolation.is_isolated:
+        if self._unready or self._isolation.is_isolated or self.door.is_nearly_full:
             return False
         knows_boxes = self._directory.listed_since is not None or bool(self._directory.boxes)
         return self.state.version > 0 and bool(self.state.endpoints.rows) and knows_boxes
@@ -236,7 +245,7 @@
         """Answer with the page of metrics."""
         if request.path != "/metrics":
             raise UnknownPathError(f"no {request.path}; the metrics are at /metrics")
-        gauges = believed(self.state, self._directory, self.sessions.count, self._keeper_desk.kept)
+        gauges = believed(self.state, self._directory, self.door, self._keeper_desk.kept)
         page = metrics_page(self.state.figures, gauges)
         return HttpResponse(200, page)
 
@@ -252,6 +261,7 @@
             now = trio.current_time()
             self.state.endpoints.expire(now)
             self._keeper_desk.maintain(now)
+            self.door.maintain(now)
             for pool in self.state.endpoints.pools.values():
                 pool.trim(now)
 
--- a/wharftiller/daemons/sessions/serving/callers.py
+++ b/wharftiller/daemons/sessions/serving/callers.py
@@ -13,6 +13,7 @@
     from collections.abc import Collection
 
     from wharftiller.core.sessions.statements import Reply, Statement
+    from wharftiller.daemons.sessions.serving.door import CallerDoor, Guest
     from wharftiller.daemons.sessions.serving.statements import StatementRunner
     from wharftiller.daemons.sessions.state import SharedState
 
@@ -31,19 +32,19 @@
 
 @attrs.define(eq=False)
 class _Served:
-    """A session being served and, while it waits for a statement, the scope to end that."""
+    """A session being served, and its caller's connection."""
 
     session: Session
-    waiting: trio.CancelScope | None = None
-    sent_away: bool = False
+    guest: Guest
 
 
 class SessionServer:
     """Serves callers' sessions; can stop without cutting a request."""
 
-    def __init__(self, state: SharedState, runner: StatementRunner) -> None:
+    def __init__(self, state: SharedState, runner: StatementRunner, door: CallerDoor) -> None:
         self._state = state
         self._runner = runner
+        self._door = door
         self._served: set[_Served] = set()
         self._numbers = 0
         self._closing_idle = False
@@ -54,10 +55,12 @@
         """Sessions open."""
         return len(self._served)
 
-    async def serve(self, channel: CallerChannel, database: str, key_digest: str) -> None:
-        """Serve one session until the caller leaves or this box stops."""
+    async def serve(
+        self, channel: CallerChannel, database: str, key_digest: str, guest: Guest
+    ) -> None:
+        """Serve one session until the caller leaves, this box stops or it needs the room."""
         self._numbers += 1
-        served = _Served(Session(self._numbers, database, key_digest))
+        served = _Served(Session(self._numbers, database, key_digest), guest)
         self._served.add(served)
         try:
             while (statement := await self._next(served, channel)) is not None:
@@ -69,21 +72,27 @@
 
     async def _next(self, served: _Served, channel: CallerChannel) -> Statement | None:
         """Return the next statement; None at the session's end."""
+        guest = served.guest
         while not self._must_close(served):
-            with trio.CancelScope() as scope:
-                served.waiting = scope
-                scope.deadline = self._rest_until(served.session)
+            self._note_rest(served)
+            with trio.CancelScope(deadline=self._rest_until(served.session)) as waiting:
+                guest.waiting = waiting
                 statement = await channel.receive()
-                served.waiting = None
+                guest.waiting = None
+                self._door.works(guest)
                 return statement
-            served.waiting = None
+            guest.waiting = None
             self._end_rested(served.session)
         return None
 
+    def _note_rest(self, served: _Served) -> None:
+        if served.session.transaction is None:
+            self._door.rests(served.guest)
+
     def _must_close(self, served: _Served) -> bool:
         if self._closing_all:
             return True
-        return served.session.transaction is None and (self._closing_idle or served.sent_away)
+        return served.session.transaction is None and (self._closing_idle or served.guest.sent_away)
 
     def _rest_until(self, session: Session) -> float:
         """Return until when the session may rest, in seconds."""
@@ -111,11 +120,10 @@
         sent = 0
         for served in self._served:
             route = routes.get(served.session.database)
-            resting = served.waiting is not None and served.session.transaction is None
+            resting = served.guest.waiting is not None and served.session.transaction is None
             if resting and route is not None and route.group in groups:
-                served.sent_away = True
+                served.guest.send_away()
                 sent += 1
-        self._cancel_waiting()
         return sent
 
     def close_all(self) -> None:
@@ -125,5 +133,6 @@
 
     def _cancel_waiting(self) -> None:
         for served in self._served:
-            if served.waiting is not None and self._must_close(served):
-                served.waiting.cancel()
+            waiting = served.guest.waiting
+            if waiting is not None and self._must_close(served):
+                waiting.cancel()
--- /dev/null
+++ b/wharftiller/daemons/sessions/serving/door.py
@@ -0,0 +1,129 @@
+"""Callers' connections of this box: takes them while it has room, tells what it refused."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from wharftiller.core.sessions.come_back import LEAST_S
+from wharftiller.core.sessions.doors import Door
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wharftiller.core.sessions.doors import BoxLimits
+    from wharftiller.daemons.sessions.state import SharedState
+
+TOLD_S = 1.0
+"""Time between log lines of callers refused or sent away, in seconds."""
+
+
+@attrs.define(eq=False)
+class Guest:
+    """One caller's connection.
+
+    Attributes
+    ----------
+    waiting : trio.CancelScope or None
+        Ends its wait for the caller; None while nothing is waited for.
+    sent_away : bool
+        Whether it ends as soon as nothing of its caller is under way.
+    """
+
+    waiting: trio.CancelScope | None = None
+    sent_away: bool = False
+
+    def send_away(self) -> None:
+        """End the connection; a statement that is under way is answered first."""
+        self.sent_away = True
+        if self.waiting is not None:
+            self.waiting.cancel()
+
+
+class CallerDoor:
+    """The door of one box.
+
+    Parameters
+    ----------
+    open_streams : callable
+        Returns how many connections other than callers' are open.
+    """
+
+    def __init__(
+        self, state: SharedState, limits: BoxLimits, open_streams: Callable[[], int]
+    ) -> None:
+        self._state = state
+        self._open_streams = open_streams
+        self._door: Door[Guest] = Door(limits)
+        self._told_at = 0.0
+        self._refused = 0
+        self._sent_away = 0
+
+    def __len__(self) -> int:
+        return len(self._door)
+
+    @property
+    def room(self) -> int:
+        """How many callers' connections can be taken."""
+        return self._door.room
+
+    @property
+    def is_nearly_full(self) -> bool:
+        """Whether new callers are better sent to other boxes."""
+        return self._door.is_nearly_full
+
+    def enter(self) -> Guest | None:
+        """Take one more connection; None if there is no room for it."""
+        now = trio.current_time()
+        self._door.note_own(self._open_streams())
+        if self._door.is_full and not self._make_room(now):
+            self._refused += 1
+            self._state.figures.doors["refused"] += 1
+            return None
+        guest = Guest()
+        self._door.came(guest, now)
+        self._state.figures.doors["taken"] += 1
+        return guest
+
+    def _make_room(self, now: float) -> bool:
+        leaving = self._door.who_leaves(now)
+        if leaving is None:
+            return False
+        self._door.left(leaving)
+        leaving.send_away()
+        self._sent_away += 1
+        self._state.figures.doors["sent_away"] += 1
+        return True
+
+    def refusal(self) -> str:
+        """Return what a caller that was not taken is told: the next try reaches another box."""
+        return f"{len(self)} sessions are open here; come back in {LEAST_S * 1000:.0f} ms"
+
+    def rests(self, guest: Guest) -> None:
+        """Note that a session waits for its caller, outside any transaction."""
+        self._door.rests(guest, trio.current_time())
+
+    def works(self, guest: Guest) -> None:
+        """Note that a session has a statement under way."""
+        self._door.works(guest)
+
+    def leave(self, guest: Guest) -> None:
+        """Note that a connection ended."""
+        self._door.left(guest)
+
+    def maintain(self, now: float) -> None:
+        """Count the box's own connections; tell what was refused, a line at most a second."""
+        self._door.note_own(self._open_streams())
+        if now - self._told_at < TOLD_S or not (self._refused or self._sent_away):
+            return
+        self._told_at = now
+        self._state.log.event(
+            "door_full",
+            refused=self._refused,
+            sent_away=self._sent_away,
+            open=len(self),
+            room=self.room,
+        )
+        self._refused = self._sent_away = 0
--- a/wharftiller/edges/metrics_page.py
+++ b/wharftiller/edges/metrics_page.py
@@ -93,6 +93,14 @@
         for outcome, count in self._figures.allowances.items():
             allowances.add_metric((outcome,), count)
         yield allowances
+        doors = CounterMetricFamily(
+            f"{PREFIX}_doors",
+            "Callers' connections, by what came of them at the door.",
+            labels=("outcome",),
+        )
+        for outcome, count in self._figures.doors.items():
+            doors.add_metric((outcome,), count)
+        yield doors
         yield from self._connections()
         events = CounterMetricFamily(
             f"{PREFIX}_events",
--- a/wharftiller/edges/transport.py
+++ b/wharftiller/edges/transport.py
@@ -4,6 +4,7 @@
 
 import ipaddress
 import struct
+import weakref
 from collections.abc import Awaitable, Callable
 from typing import Protocol
 
@@ -103,6 +104,43 @@
         await trio.serve_listeners(guarded, listeners)
 
 
+class CountedTransport:
+    """Streams of another transport, counted while they are open.
+
+    A stream that was opened here counts until nobody keeps it any more.
+    """
+
+    def __init__(self, transport: Transport) -> None:
+        self._transport = transport
+        self._connected: weakref.WeakSet[trio.abc.Stream] = weakref.WeakSet()
+        self._accepted = 0
+
+    @property
+    def open_streams(self) -> int:
+        """Streams open now, whichever side opened them."""
+        return len(self._connected) + self._accepted
+
+    async def connect(self, address: str) -> trio.abc.Stream:
+        """Open a stream; raises as the other transport does."""
+        stream = await self._transport.connect(address)
+        self._connected.add(stream)
+        return stream
+
+    async def serve(
+        self, address: str, handler: Handler, task_status: trio.TaskStatus[str]
+    ) -> None:
+        """Accept streams for ever; reports the address that was bound."""
+
+        async def counted(stream: trio.abc.Stream) -> None:
+            self._accepted += 1
+            try:
+                await handler(stream)
+            finally:
+                self._accepted -= 1
+
+        await self._transport.serve(address, counted, task_status)
+
+
 def _find_dead_peers(stream: trio.SocketStream) -> None:
     """Have the kernel close a connection whose other side has vanished."""
     stream.setsockopt(trio.socket.SOL_SOCKET, trio.socket.SO_KEEPALIVE, 1)
--- a/wharftiller/platform/__main__.py
+++ b/wharftiller/platform/__main__.py
@@ -14,7 +14,7 @@
 from wharftiller.daemons.sessions.proxy import BoxIdentity, SessionProxy
 from wharftiller.decisions import DecisionLog
 from wharftiller.edges.http_server import HttpHandler, HttpRequest, HttpResponse, serve_stream
-from wharftiller.edges.transport import TcpTransport
+from wharftiller.edges.transport import CountedTransport, TcpTransport
 from wharftiller.platform.callers import CallerServer
 from wharftiller.platform.duties import PlatformPromotions
 from wharftiller.platform.endpoints import LineDialer
@@ -57,7 +57,9 @@
         self._settings = settings
         self._path = path
         self._log = log
-        self._transport = transport
+        # Callers come over the transport itself: the door counts them.
+        self._callers = transport
+        self._transport = CountedTransport(transport)
         self.proxy: SessionProxy | None = None
 
     async def run(self) -> None:
@@ -71,8 +73,8 @@
         async with trio.open_nursery() as nursery:
             proxy = self.proxy = self._compose(nursery)
             self._log.change("started", pid=os.getpid(), data_centre=settings.data_centre)
-            callers = CallerServer(proxy, settings.max_sessions)
-            await nursery.start(self._transport.serve, settings.callers, callers.serve)
+            callers = CallerServer(proxy)
+            await nursery.start(self._callers.serve, settings.callers, callers.serve)
             await nursery.start(self._transport.serve, settings.ready, self._answer_ready(proxy))
             await nursery.start(self._transport.serve, settings.boxes, self._http(proxy.handle_box))
             await nursery.start(self._transport.serve, settings.relay, proxy.relay.serve)
@@ -109,6 +111,8 @@
             self._log,
             decode,
             nursery,
+            settings.limits,
+            lambda: self._transport.open_streams,
         )
 
     async def _take_signals(self, signals: AsyncIterator[int]) -> None:
--- a/wharftiller/platform/callers.py
+++ b/wharftiller/platform/callers.py
@@ -27,10 +27,18 @@
     from wharftiller.core.sessions.routes import Route
     from wharftiller.core.sessions.statements import Reply
     from wharftiller.daemons.sessions.proxy import SessionProxy
+    from wharftiller.daemons.sessions.serving.door import Guest
 
 GREETING_TIMEOUT_S = 5.0
 """Time a caller may take to name its database, in seconds."""
 
+REFUSED_GREETING_S = 0.3
+"""Time that a caller for whom there is no room has to speak, in seconds."""
+
+MOST_BEING_REFUSED = 32
+"""Callers waited for before they are refused; beyond it they are closed without a word, so that a
+crowd takes few descriptors from the box."""
+
 CONFIGURATION_WAIT_S = 1.5
 """Time a new session waits for the first configuration, in seconds: callers wait 2 s."""
 
@@ -58,30 +66,21 @@
 
 
 class CallerServer:
-    """Serves callers' connections, up to a number at once.
-
-    Parameters
-    ----------
-    max_sessions : int
-        Connections beyond it are refused, so that descriptors are left for the rest.
-    """
+    """Serves callers' connections, as many at once as the box has room for."""
 
-    def __init__(self, proxy: SessionProxy, max_sessions: int) -> None:
+    def __init__(self, proxy: SessionProxy) -> None:
         self._proxy = proxy
-        self._max_sessions = max_sessions
-        self._open = 0
+        self._being_refused = 0
 
     async def serve(self, stream: trio.abc.Stream) -> None:
         """Serve one connection until either side ends it."""
         reader = LineReader(stream)
-        self._open += 1
+        guest = self._proxy.door.enter()
+        if guest is None:
+            await self._refuse_full(stream, reader)
+            return
         try:
-            if self._open > self._max_sessions:
-                self._proxy.state.log.event("caller_refused", open=self._open - 1)
-                detail = f"{self._max_sessions} sessions are open here; come back in 1000 ms"
-                await self._refuse(stream, RefusalKind.TOO_MANY_CONNECTIONS, detail)
-                return
-            await self._serve(stream, reader)
+            await self._serve(stream, reader, guest)
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             return
         except BodyTooLargeError as error:
@@ -90,11 +89,26 @@
             # A fault in one session must not end the others'.
             self._proxy.state.log.change("session_failed", why=repr(error))
         finally:
-            self._open -= 1
+            self._proxy.door.leave(guest)
+
+    async def _refuse_full(self, stream: trio.abc.Stream, reader: LineReader) -> None:
+        """Refuse a caller once it has spoken: closing before that resets what it is told."""
+        if self._being_refused >= MOST_BEING_REFUSED:
+            return
+        self._being_refused += 1
+        try:
+            with trio.move_on_after(REFUSED_GREETING_S):
+                await reader.line()
+            detail = self._proxy.door.refusal()
+            await self._refuse(stream, RefusalKind.TOO_MANY_CONNECTIONS, detail)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, BodyTooLargeError):
+            return
+        finally:
+            self._being_refused -= 1
 
-    async def _serve(self, stream: trio.abc.Stream, reader: LineReader) -> None:
+    async def _serve(self, stream: trio.abc.Stream, reader: LineReader, guest: Guest) -> None:
         line: bytes | None = None
-        with trio.move_on_after(GREETING_TIMEOUT_S):
+        with trio.move_on_after(GREETING_TIMEOUT_S) as guest.waiting:
             line = await reader.line()
         if line is None:
             return
@@ -115,7 +129,8 @@
             await self._refuse(stream, RefusalKind.UNKNOWN_KEY, detail)
             return
         await stream.send_all(b"READY I -\r\n")
-        await self._proxy.sessions.serve(LineChannel(stream, reader), database, digest)
+        channel = LineChannel(stream, reader)
+        await self._proxy.sessions.serve(channel, database, digest, guest)
 
     async def _route(self, database: str) -> Route | None:
         state = self._proxy.state
--- a/wharftiller/platform/settings.py
+++ b/wharftiller/platform/settings.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from pathlib import Path
 from typing import Any
 
@@ -11,16 +12,13 @@
 from wharftiller.core.errors import WharfError
 from wharftiller.core.sessions.allowances import AllowanceBounds
 from wharftiller.core.sessions.bounds import PlatformBounds
+from wharftiller.core.sessions.doors import BoxLimits
 
 METRICS_PORT = 9464
 """Port of the page of metrics; deploy/system.toml names it to the platform."""
 
-OWN_DESCRIPTORS = 1_800
-"""Descriptors kept for files (the platform's 200), endpoints, other boxes and the platform.
-
-Of 200 boxes each may hold six connections (asked and asking for rounds, for signs of life and
-for statements), of 30 endpoints ten each.
-"""
+KEPT_FOR_FILES = 200
+"""Descriptors that the platform keeps for files, out of `MaxFds`."""
 
 LONGEST_BOUND_S = 3600.0
 """A bound of an hour or more is taken for a mistake in its unit, in seconds."""
@@ -31,12 +29,6 @@
 LEAST_QUOTA_WINDOW_S = 0.1
 """A shorter window for counting operations is taken for a mistake in its unit, in seconds."""
 
-DEFAULT_MAX_SESSIONS = 2_400
-"""Callers' connections taken where no limit of descriptors is given.
-
-With `OWN_DESCRIPTORS` just above 4,096, a usual hard limit of a process.
-"""
-
 
 class PlatformSettingsError(WharfError):
     """The settings file lacks something or holds something unusable."""
@@ -63,8 +55,8 @@
         What the platform promises and asks.
     first_start : bool
         Whether the whole deployment starts for the first time.
-    max_sessions : int
-        Callers' connections taken at once.
+    limits : BoxLimits
+        What this process may use.
     needs_workspaces : bool
         Whether callers are served only with a workspace's key.
     """
@@ -81,14 +73,41 @@
     duties: str
     bounds: PlatformBounds
     first_start: bool = False
-    max_sessions: int = DEFAULT_MAX_SESSIONS
+    limits: BoxLimits = attrs.field(factory=BoxLimits)
     needs_workspaces: bool = False
 
 
-def _max_sessions(limits: dict[str, Any]) -> int:
-    """Return how many callers' connections leave enough descriptors for the rest."""
-    descriptors = int(limits.get("MaxFds") or DEFAULT_MAX_SESSIONS + OWN_DESCRIPTORS)
-    return max(1, descriptors - OWN_DESCRIPTORS)
+def _limits(value: dict[str, Any], path: str) -> BoxLimits:
+    """Return what this process may use; what is not stated is as usual.
+
+    Raises
+    ------
+    PlatformSettingsError
+        If a limit is no number above 0.
+    TooFewDescriptorsError
+        If it cannot work within them.
+    """
+    defaults = BoxLimits()
+
+    def number(name: str, default: float) -> float:
+        given = value.get(name)
+        if given is None:
+            return default
+        is_number = isinstance(given, int | float) and not isinstance(given, bool)
+        if not is_number or not 0 < given < math.inf:
+            raise PlatformSettingsError(
+                f"{path}: Limits.{name} is {given!r}; give a number above 0, as the platform"
+                f" states it"
+            )
+        return float(given)
+
+    limits = BoxLimits(
+        descriptors=int(number("MaxFds", defaults.descriptors)),
+        kept_for_files=KEPT_FOR_FILES,
+        memory_mb=number("MemoryMb", defaults.memory_mb),
+    )
+    limits.check()
+    return limits
 
 
 def _bounds(value: dict[str, Any], path: str) -> PlatformBounds:
@@ -180,7 +199,7 @@
             duties=str(value["CloudApi"]["Address"]),
             bounds=_bounds(value, path),
             first_start=value.get("FirstStart") is True,
-            max_sessions=_max_sessions(value.get("Limits") or {}),
+            limits=_limits(value.get("Limits") or {}, path),
             # The platform calls a workspace a tenant.
             needs_workspaces="tenants" in (value.get("Contracts") or ()),
         )
--- a/wharftiller/run_losses.py
+++ b/wharftiller/run_losses.py
@@ -24,6 +24,9 @@
 SLOW = "slow"
 """Cause of a late answer about whose primary nothing out of the ordinary was known."""
 
+AT_THE_DOOR = "door"
+"""Cause of callers that found no room for a session."""
+
 ENDED_LINES = ("refused", "unsettled")
 """Events of statements that ended without a result."""
 
@@ -75,6 +78,8 @@
                 loss(event, _cause_of(fields)).unknown += 1
             case "answered" if fields.get("late"):
                 loss(event, _cause_of_late(fields)).late += 1
+            case "door_full":
+                loss(event, AT_THE_DOOR).refused += int(fields.get("refused") or 0)
             case "lines_left_out":
                 for name, count in _counts(fields).items():
                     if name in ENDED_LINES:
--- /dev/null
+++ b/wharftiller/tests/platform/test_doors.py
@@ -0,0 +1,122 @@
+"""Callers at the door of a box that has little room."""
+
+from __future__ import annotations
+
+import pytest
+import trio
+
+from wharftiller.core.sessions.doors import GREETING_LEAST_S, REST_LEAST_S, BoxLimits
+from wharftiller.decision_story import read_events
+from wharftiller.run_losses import losses_of
+from wharftiller.tests.platform.world import BoxProcess, Caller, World, run_in_world
+
+LITTLE = BoxLimits(descriptors=160)
+"""Room for some sixty callers."""
+
+
+async def fill(world: World, box: BoxProcess) -> list[Caller]:
+    """Open sessions until one is refused."""
+    open_: list[Caller] = []
+    while True:
+        caller, line = await world.knock(box, "primary")
+        if line != "READY I -":
+            assert line is not None
+            assert line.startswith("ERROR OVERLOAD")
+            assert "come back in 50 ms" in line
+            assert await caller.line() is None
+            return open_
+        open_.append(caller)
+
+
+async def is_ready(world: World, box: BoxProcess) -> bool:
+    stream = await world.network.host("10.8.0.3").connect(f"{box.ip}:2")
+    await stream.send_all(b"GET /v1/readiness HTTP/1.1\r\nhost: a\r\n\r\n")
+    return b" 200 " in await stream.receive_some()
+
+
+class TestDoor:
+    def test_a_full_box_refuses_at_once_and_takes_callers_again(self) -> None:
+        async def story(world: World) -> None:
+            box = world.boxes["box-1"]
+            assert await is_ready(world, box)
+            open_ = await fill(world, box)
+            assert 20 <= len(open_) <= LITTLE.connections
+            assert not await is_ready(world, box)
+            for caller in open_[: len(open_) // 2]:
+                caller.close()
+            await trio.sleep(0.1)
+            assert await is_ready(world, box)
+            caller = await world.call(box, "primary")
+            assert (await caller.ask("WRITE seat1 anna"))[0] == "ROW written"
+
+        run_in_world(story, boxes=1, limits=LITTLE)
+
+    def test_who_rests_longest_leaves_for_a_newcomer(self) -> None:
+        async def story(world: World) -> None:
+            box = world.boxes["box-1"]
+            open_ = await fill(world, box)
+            await trio.sleep(REST_LEAST_S)
+            assert (await open_[0].ask("READ seat1"))[-1].startswith("READY I")
+            newcomer = await world.call(box, "primary")
+            assert (await newcomer.ask("WRITE seat1 anna"))[0] == "ROW written"
+            assert await open_[1].line() is None
+            assert (await open_[0].ask("READ seat1"))[0] == "ROW anna"
+
+        run_in_world(story, boxes=1, limits=LITTLE)
+
+    def test_nobody_in_a_transaction_leaves_for_a_newcomer(self) -> None:
+        async def story(world: World) -> None:
+            box = world.boxes["box-1"]
+            booking = await world.call(box, "primary")
+            await booking.ask("BEGIN")
+            await booking.ask("WRITE seat1 anna")
+            open_ = await fill(world, box)
+            await trio.sleep(REST_LEAST_S)
+            for _ in open_:
+                await world.call(box, "primary")
+            assert (await booking.ask("COMMIT"))[0].startswith("COMPLETE")
+
+        run_in_world(story, boxes=1, limits=LITTLE)
+
+    def test_connections_that_say_nothing_leave_first(self) -> None:
+        """Those that rest keep their sessions."""
+
+        async def story(world: World) -> None:
+            box = world.boxes["box-1"]
+            served = [await world.call(box, "primary") for _ in range(5)]
+            for _ in range(LITTLE.connections):
+                await world.network.host("10.8.0.2").connect(f"{box.ip}:1")
+            await trio.sleep(max(GREETING_LEAST_S, REST_LEAST_S))
+            for _ in range(10):
+                await world.call(box, "primary")
+            for caller in served:
+                assert (await caller.ask("READ seat1"))[-1].startswith("READY I")
+
+        run_in_world(story, boxes=1, limits=LITTLE)
+
+    def test_a_crowd_refused_is_told_in_few_lines_and_counted(self) -> None:
+        async def story(world: World) -> None:
+            box = world.boxes["box-1"]
+            open_ = await fill(world, box)
+            assert open_
+            for _ in range(300):
+                _, line = await world.knock(box, "primary")
+                assert line is not None
+                assert line.startswith("ERROR OVERLOAD")
+            await trio.sleep(1.5)
+            lines = box.events("door_full")
+            assert len(lines) <= 3
+            assert sum(line["refused"] for line in lines) == 301
+            events = read_events(bytes(box.lines).decode().splitlines())
+            refused = [loss for loss in losses_of(events, 0.0) if loss.cause == "door"]
+            assert sum(loss.refused for loss in refused) == 301
+
+        run_in_world(story, boxes=1, limits=LITTLE)
+
+    @pytest.mark.parametrize("descriptors", [700, 1_640, 4_300])
+    def test_a_box_takes_hundreds_whatever_its_limit(self, descriptors: int) -> None:
+        async def story(world: World) -> None:
+            for _ in range(250):
+                await world.call(world.boxes["box-1"], "primary")
+
+        run_in_world(story, boxes=1, limits=BoxLimits(descriptors, 200))
