Go on after the platform came back from a copy some seconds old

Here every part took the higher revision as the newer: lists of endpoints and the configuration stood still until the platform had counted past what was known, and the record of leadership went back as soon as its restored copy had a higher one.

Change: the adapter numbers revisions by era first, so that what keeps one needs to know no era; a condition or a watch of a former era is not used. A record counts its updates, and the one with more is newer. A record that came back gives no lease until it is written anew: at once by who knows a newer one, by others after a round that all answered or 12 s. No primary is replaced and no box dropped from the list for 12 s; a box that starts then learns of it from the record.

Open too: a write sent in the moment of the restoration whose number was given out again replaces another box's; the HTTP interface's own product (its steward keeps no revision of the platform's across restarts) was not looked at; the soak does not bring eras about.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 	scripts/down.sh run
 
 test: $(VENV)/ready
-	python -m pytest
+	scripts/test.sh
 
 lint: $(VENV)/ready
 	ruff format --check .
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import copy
 import enum
 from typing import TYPE_CHECKING, Any
 
@@ -34,6 +35,18 @@
     value: dict[str, Any]
 
 
+OWN_KIND = "wharftiller"
+"""Kind of the objects that boxes write; all others are the operator's and the servers'."""
+
+
+@attrs.frozen
+class StoreCopy:
+    """Everything that a store held at one revision."""
+
+    revision: int
+    objects: dict[tuple[str, str], dict[str, Any]]
+
+
 class ObjectStoreStandIn:
     """Objects with one revision for all, and the promotions beside them.
 
@@ -47,6 +60,8 @@
         How long lists of a kind take, in seconds, as large ones on a slow link.
     calls, listed : int
         Calls taken, and objects told in lists.
+    era : int
+        Rises each time it comes back from a copy; told in every answer.
     """
 
     def __init__(self, groups: list[LineGroup]) -> None:
@@ -62,6 +77,7 @@
         self.slow_lists: dict[str, float] = {}
         self.calls = 0
         self.listed = 0
+        self.era = 1
 
     def set(self, kind: str, name: str, spec: Any) -> int:
         """Write an object as the operator or a server does."""
@@ -98,6 +114,25 @@
         self._forgotten = self.revision
         self._wake()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of everything, to come back from."""
+        return StoreCopy(self.revision, copy.deepcopy(self._objects))
+
+    def restore(self, taken: StoreCopy) -> None:
+        """Come back from a copy; what the operator and the servers wrote since is written again."""
+        theirs = {key: value for key, value in self._objects.items() if key[0] != OWN_KIND}
+        self.era += 1
+        self.revision = taken.revision
+        self._objects = copy.deepcopy(taken.objects)
+        self._changes = [each for each in self._changes if each.revision <= taken.revision]
+        for (kind, name), value in theirs.items():
+            if self.spec(kind, name) != value["spec"]:
+                self.set(kind, name, value["spec"])
+        for kind, name in list(self._objects):
+            if kind != OWN_KIND and (kind, name) not in theirs:
+                self.remove(kind, name)
+        self._wake()
+
     def _wake(self) -> None:
         self._changed.set()
         self._changed = trio.Event()
@@ -121,6 +156,7 @@
         if request.path == "/promotion":
             return await self._promote(request)
         response = await self._objects_call(request)
+        response.headers["Store-Era"] = str(self.era)
         if request.method != "GET" and self.lose_answers:
             self.lose_answers -= 1
             await trio.sleep_forever()
@@ -149,6 +185,8 @@
                 self.listed += len(items)
                 body = {"items": items, "MorePages": False, "CurrentRev": self.revision}
                 return HttpResponse(200, body)
+            case ("GET", [name]) if (kind, name) in self._objects:
+                return HttpResponse(200, self._objects[kind, name])
             case ("POST", []):
                 return self._create(kind, request.json())
             case ("PUT", [name]):
@@ -181,7 +219,7 @@
         since = int(query["Watch"])
         with trio.move_on_after(int(query.get("WaitMs", "0")) / 1000):
             while True:
-                if since < self._forgotten:
+                if since < self._forgotten or since > self.revision:
                     return HttpResponse(410, {})
                 events = self._events(kind, since)
                 if events and not self.deaf_watches:
--- a/wharftiller/core/leadership/lease.py
+++ b/wharftiller/core/leadership/lease.py
@@ -42,6 +42,12 @@
 """
 
 
+UNSETTLED_S = 2 * LEASE_S
+"""Time for which a record that the platform came back with is not trusted while a box is silent,
+in seconds: leases that somebody may hold end in half of it, and boxes that were cut off or frozen
+for a moment tell what they know."""
+
+
 def holds_no_lease(marked_at: float, answered_at: float, listed_s: float, now: float) -> bool:
     """Return whether another box, marked as dead in the platform's list, surely holds no lease.
 
@@ -125,6 +131,9 @@
     boxes: frozenset[str] = frozenset()
     boxes_listed_at: float = -math.inf
     _leases: dict[str, GroupLease] = attrs.field(factory=dict)
+    _unsettled: LeadershipRecord | None = None
+    _unsettled_since: float = -math.inf
+    _round_counted_at: float = -math.inf
 
     def lease(self, group: str, now: float) -> GroupLease | None:
         """Return the valid lease on ``group``'s primary, if there is one."""
@@ -156,8 +165,12 @@
         return lease is not None and lease.endpoint == endpoint
 
     def adopt(self, record: LeadershipRecord) -> bool:
-        """Take in a record from anywhere; return whether it is newer than the one known."""
-        if record.revision <= self.record.revision:
+        """Take in a record from anywhere; return whether it is newer than the one known.
+
+        One that the platform came back with, older than the one known, is not: it would give
+        leases on a primary that has been replaced, and a fence that was used before.
+        """
+        if not record.is_newer_than(self.record):
             return False
         self.record = record
         for group, state in record.groups.items():
@@ -174,13 +187,50 @@
     def read(self, record: LeadershipRecord, asked_at: float) -> None:
         """Take in a record read from the platform, asked for at ``asked_at`` (seconds)."""
         self.adopt(record)
+        if not self.read_from_platform and record.is_written_back:
+            # The platform may have come back a moment ago, before this box was there to see it.
+            self._unsettled_since = asked_at
         self.read_from_platform = True
-        if record.revision >= self.record.revision:
+        if not record.is_confirmed or record.went_back_behind(self.record):
+            self._note_unsettled(record, asked_at)
+        elif not self.record.is_newer_than(record):
+            self._unsettled = None
             self._renew(asked_at)
 
+    def _note_unsettled(self, record: LeadershipRecord, asked_at: float) -> None:
+        if self._unsettled is None:
+            self._unsettled_since = asked_at
+        self._unsettled = record
+
+    def to_write_back(self, now: float) -> LeadershipRecord | None:
+        """Return what to write over a record that the platform came back with; None if nothing.
+
+        Reads of such a record renew no lease: a box that knows a newer one may be silent. It is
+        written anew at once by who knows a newer one; by others after a round that every box
+        answered, or after a time in which a box that knows more has written it.
+        """
+        stood = self._unsettled
+        if stood is None:
+            return None
+        asked_all = self._round_counted_at > self._unsettled_since
+        knows_more = self.record.updates > stood.updates
+        if knows_more or asked_all or now - self._unsettled_since > UNSETTLED_S:
+            return self.record.confirmed_at(stood.revision)
+        return None
+
+    def is_settled(self, now: float) -> bool:
+        """Return whether the platform's list names every box that may hold a lease.
+
+        One that it came back with may lack boxes that registered since the copy. Their leases
+        end, or they register anew and are listed, before it counts; no primary is replaced and
+        no box is forgotten until then.
+        """
+        return self._unsettled is None and now - self._unsettled_since > UNSETTLED_S
+
     def listed(self, boxes: Iterable[str], asked_at: float) -> None:
         """Take in the platform's list of the other boxes."""
-        self.boxes = frozenset(boxes)
+        kept = frozenset() if self.is_settled(asked_at) else self.boxes
+        self.boxes = frozenset(boxes) | kept
         self.boxes_listed_at = max(self.boxes_listed_at, asked_at)
 
     def round_ended(self, answers: Iterable[RoundAnswer], asked_at: float) -> bool:
@@ -197,6 +247,7 @@
             and self.read_from_platform
         )
         if counts:
+            self._round_counted_at = asked_at
             self._renew(asked_at)
         return counts
 
--- a/wharftiller/core/leadership/record.py
+++ b/wharftiller/core/leadership/record.py
@@ -7,6 +7,9 @@
 
 import attrs
 
+LOST_MOST = 10_000
+"""More updates than are ever written in the seconds that a copy of the platform is old."""
+
 
 @attrs.frozen
 class Leading:
@@ -63,6 +66,13 @@
         Incarnation of the box that may order promotions under ``fence``.
     attempt : str
         Id of the update that made this revision.
+    updates : int
+        Rises with each update; decides which of two records is newer. Where the platform came
+        back from a copy, a record of a higher revision may hold fewer.
+    is_written_back : bool
+        Whether its last update only wrote it back after the platform had come back.
+    is_confirmed : bool
+        Whether it was written since the platform came back last.
     """
 
     revision: int = 0
@@ -70,6 +80,26 @@
     holder: str = ""
     attempt: str = ""
     groups: dict[str, GroupLeadership] = attrs.field(factory=dict)
+    updates: int = 0
+    is_written_back: bool = False
+    is_confirmed: bool = attrs.field(default=True, eq=False)
+
+    def is_newer_than(self, other: LeadershipRecord) -> bool:
+        """Return whether it followed ``other``."""
+        return (self.updates, self.revision) > (other.updates, other.revision)
+
+    def went_back_behind(self, other: LeadershipRecord) -> bool:
+        """Return whether the platform came back with this after it had held ``other``."""
+        return self.revision > other.revision and self.updates < other.updates
+
+    def confirmed_at(self, revision: int) -> LeadershipRecord:
+        """Return what is written over the record of ``revision`` that came back from a copy.
+
+        It outranks every update that was lost with the seconds that the copy is old, so that a
+        box which still knows one of them does not bring it back later.
+        """
+        updates = self.updates + LOST_MOST
+        return attrs.evolve(self, revision=revision, updates=updates, is_written_back=True)
 
     @property
     def moving(self) -> dict[str, Moving]:
--- a/wharftiller/daemons/sessions/leadership/mover.py
+++ b/wharftiller/daemons/sessions/leadership/mover.py
@@ -99,6 +99,8 @@
                 await trio.sleep(FAILED_PAUSE_S)
 
     async def _look(self) -> None:
+        if await self._writer.write_back() or not self._is_settled():
+            return
         await self._first_record()
         record = self._state.leases.record
         if record.moving and record.holder == self._writer.incarnation:
@@ -110,6 +112,10 @@
         else:
             await self._start(record)
 
+    def _is_settled(self) -> bool:
+        """Return whether the platform's list and record may be built on."""
+        return self._state.leases.is_settled(trio.current_time())
+
     # The first record ---------------------------------------------------
 
     async def _first_record(self) -> None:
--- a/wharftiller/daemons/sessions/leadership/record_writer.py
+++ b/wharftiller/daemons/sessions/leadership/record_writer.py
@@ -36,9 +36,20 @@
 
     async def write(self, record: LeadershipRecord) -> bool:
         """Replace the record; return whether this box's own update stands there."""
+        attempt, asked_at = self._next_attempt()
+        update = attrs.evolve(
+            record, attempt=attempt, updates=record.updates + 1, is_written_back=False
+        )
+        return await self._replace(update, asked_at)
+
+    def _next_attempt(self) -> tuple[str, float]:
+        """Return the id of a new update, and now, in seconds."""
         attempt = f"{self.incarnation}.{next(self._numbers)}"
         asked_at = self._attempts[attempt] = trio.current_time()
-        stands = await self._store.replace_record(attrs.evolve(record, attempt=attempt))
+        return attempt, asked_at
+
+    async def _replace(self, update: LeadershipRecord, asked_at: float) -> bool:
+        stands = await self._store.replace_record(update)
         won = stands.attempt in self._attempts
         if won:
             self._won_at.setdefault(stands.fence, (asked_at, trio.current_time()))
@@ -52,6 +63,15 @@
         self._state.wake()
         return won
 
+    async def write_back(self) -> bool:
+        """Write the record anew where the platform came back with an older one; False if not."""
+        record = self._state.leases.to_write_back(trio.current_time())
+        if record is None:
+            return False
+        self._state.log.change("record_written_back", over=record.revision, fence=record.fence)
+        attempt, asked_at = self._next_attempt()
+        return await self._replace(attrs.evolve(record, attempt=attempt), asked_at)
+
     def as_holder(self, record: LeadershipRecord) -> LeadershipRecord:
         """Return the record with this process as its holder, under a new fence."""
         return attrs.evolve(record, fence=record.fence + 1, holder=self.incarnation)
--- a/wharftiller/edges/leadership_json.py
+++ b/wharftiller/edges/leadership_json.py
@@ -17,6 +17,8 @@
         "fence": record.fence,
         "holder": record.holder,
         "attempt": record.attempt,
+        "updates": record.updates,
+        "written_back": record.is_written_back,
         "groups": {name: _group_to_json(state) for name, state in record.groups.items()},
     }
 
@@ -51,6 +53,8 @@
             str(value["holder"]),
             str(value["attempt"]),
             groups,
+            int(value.get("updates") or 0),
+            value.get("written_back") is True,
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise BadRequestError(
--- a/wharftiller/platform/__main__.py
+++ b/wharftiller/platform/__main__.py
@@ -87,7 +87,7 @@
 
     def _compose(self, nursery: trio.Nursery) -> SessionProxy:
         settings = self._settings
-        store = ObjectStore(self._transport, settings.store)
+        store = ObjectStore(self._transport, settings.store, self._log)
         decode = partial(decode_configuration, needs_workspaces=settings.needs_workspaces)
 
         def feeds(state: SharedState, missed: Callable[[], None]) -> PlatformFeeds:
--- a/wharftiller/platform/objects.py
+++ b/wharftiller/platform/objects.py
@@ -50,6 +50,9 @@
 RECORD_NAME = "leadership"
 """Name of the record of leadership."""
 
+ERA_FIELD = "era"
+"""Field of the record that names the platform's era in which it was written."""
+
 BOX_PREFIX = "box."
 """Goes before a box's name in the name of its entry."""
 
@@ -255,12 +258,15 @@
             self._log.event("box_not_understood", name=stored.name, why=repr(error))
             return None
 
-    @staticmethod
-    def _record(stored: StoredObject) -> LeadershipRecord:
+    def _record(self, stored: StoredObject) -> LeadershipRecord:
         try:
-            return record_from_json(stored.spec, stored.revision)
+            record = record_from_json(stored.spec, stored.revision)
         except BadRequestError as error:
             raise PlatformUnavailableError(str(error)) from error
+        # Written in an era before this one, it may be older than what was acknowledged then.
+        written_in = stored.spec.get(ERA_FIELD)
+        is_confirmed = written_in is None or written_in == self._store.era
+        return attrs.evolve(record, is_confirmed=is_confirmed)
 
     async def register(self, box: Box) -> None:
         """Put ``box`` into the list, or its new process in its place."""
@@ -282,7 +288,6 @@
 
     async def replace_record(self, record: LeadershipRecord) -> LeadershipRecord:
         """Replace the record of ``record.revision``; return what stands there afterwards."""
-        stands = await self._store.put(
-            OWN_KIND, RECORD_NAME, record_to_json(record), record.revision
-        )
+        spec = {**record_to_json(record), ERA_FIELD: self._store.era}
+        stands = await self._store.put(OWN_KIND, RECORD_NAME, spec, record.revision)
         return self._record(stands)
--- a/wharftiller/platform/store.py
+++ b/wharftiller/platform/store.py
@@ -11,6 +11,7 @@
 from wharftiller.edges.http_client import HttpClient
 
 if TYPE_CHECKING:
+    from wharftiller.decisions import DecisionLog
     from wharftiller.edges.transport import Transport
 
 CALL_TIMEOUT_S = 0.8
@@ -22,6 +23,16 @@
 WATCH_WAIT_MS = 25_000
 """How long a watch waits for a change, in milliseconds; the platform allows 30 s."""
 
+ERA_HEADER = "store-era"
+"""Header of every answer: rises each time the platform comes back from a copy of its objects."""
+
+ERA_REVISIONS = 2**40
+"""Revisions kept for one era.
+
+After a restoration the platform counts on from the copy's revision and gives the same numbers to
+other changes. Numbered by era first, a revision stands for one state, and later ones are higher.
+"""
+
 WATCH_SLACK_S = 3.0
 """Time that a watch's answer may take beyond its wait, in seconds."""
 
@@ -33,7 +44,7 @@
     Attributes
     ----------
     revision : int
-        The platform's counter at its last change.
+        The platform's counter at its last change, within its era.
     """
 
     name: str
@@ -57,24 +68,46 @@
     revision: int
 
 
+@attrs.frozen
+class _Answer:
+    """An answer of the platform.
+
+    Attributes
+    ----------
+    era : int
+        The platform's era as it answered.
+    """
+
+    status: int
+    value: Any
+    era: int
+
+
 class ObjectStore:
     """Calls to the platform's objects.
 
     Every method raises `PlatformUnavailableError` if no usable answer came; a
     change may still take effect then.
+
+    Attributes
+    ----------
+    era : int
+        The newest era that an answer told of; 0 before any.
     """
 
-    def __init__(self, transport: Transport, address: str) -> None:
+    def __init__(self, transport: Transport, address: str, log: DecisionLog | None = None) -> None:
         self._transport = transport
         self._address = address
         self._client = HttpClient(transport, address)
+        self._log = log
+        self.era = 0
 
-    async def _call(self, method: str, path: str, body: Any = None) -> tuple[int, Any]:
+    async def _call(self, method: str, path: str, body: Any = None) -> _Answer:
         return await self._call_on(self._client, method, path, body, CALL_TIMEOUT_S)
 
     async def _call_on(
         self, client: HttpClient, method: str, path: str, body: Any, timeout_s: float
-    ) -> tuple[int, Any]:
+    ) -> _Answer:
         try:
             answer = await client.request(method, path, body, timeout_s=timeout_s)
             value = answer.json() if answer.body else None
@@ -82,7 +115,20 @@
             raise PlatformUnavailableError(f"{method} {path}: {error}") from error
         if answer.status in (429, 503) or answer.status >= 500:
             raise PlatformUnavailableError(f"{method} {path}: answered {answer.status}")
-        return answer.status, value
+        return _Answer(answer.status, value, self._note_era(answer.headers.get(ERA_HEADER)))
+
+    def _note_era(self, told: str | None) -> int:
+        """Return the era of an answer; that known before where it tells none."""
+        if told is None or not told.isdecimal():
+            return self.era
+        era = int(told)
+        if era < self.era:
+            raise PlatformUnavailableError(f"an answer of era {era} came in era {self.era}")
+        if era > self.era:
+            if self.era and self._log is not None:
+                self._log.change("platform_restored", era=era, before=self.era)
+            self.era = era
+        return era
 
     def new_client(self) -> HttpClient:
         """Return a connection of its own, for what takes long."""
@@ -106,12 +152,14 @@
         """
         found: dict[str, StoredObject] = {}
         query = f"?after={quote(after)}" if after else ""
+        first_era: int | None = None
         while True:
             path = f"/v1/objects/{kind}{query}"
-            status, value = await self._call_on(
-                client or self._client, "GET", path, None, timeout_s
-            )
-            items, revision, more = _parse_page(status, value)
+            answer = await self._call_on(client or self._client, "GET", path, None, timeout_s)
+            first_era = answer.era if first_era is None else first_era
+            if answer.era != first_era:
+                raise PlatformUnavailableError(f"the platform was restored while {kind} was listed")
+            items, revision, more = _parse_page(answer)
             found.update({item.name: item for item in items})
             if not more or not items:
                 return found, revision
@@ -127,16 +175,28 @@
             replaces whatever stands there.
         """
         meta: dict[str, Any] = {"Name": name, "Finalizers": []}
+        path = f"/v1/objects/{kind}/{name}"
         if revision:
-            meta["Revision"] = revision
+            if revision // ERA_REVISIONS != self.era:
+                return await self._read_one(path)
+            meta["Revision"] = revision % ERA_REVISIONS
         body = {"meta": meta, "spec": spec, "status": None}
         if revision == 0:
-            status, value = await self._call("POST", f"/v1/objects/{kind}", body)
+            answer = await self._call("POST", f"/v1/objects/{kind}", body)
         else:
-            status, value = await self._call("PUT", f"/v1/objects/{kind}/{name}", body)
-        if status in (200, 201, 409) and value is not None:
-            return parse_object(value)
-        raise PlatformUnavailableError(f"writing {kind}/{name} was answered {status}")
+            answer = await self._call("PUT", path, body)
+        if revision and answer.era != revision // ERA_REVISIONS:
+            raise PlatformUnavailableError(f"the platform was restored while {path} was written")
+        if answer.status in (200, 201, 409) and answer.value is not None:
+            return parse_object(answer.value, answer.era)
+        raise PlatformUnavailableError(f"writing {kind}/{name} was answered {answer.status}")
+
+    async def _read_one(self, path: str) -> StoredObject:
+        """Return what stands there now: what was to be replaced went with an era that is over."""
+        answer = await self._call("GET", path)
+        if answer.status != 200:
+            raise PlatformUnavailableError(f"reading {path} was answered {answer.status}")
+        return parse_object(answer.value, answer.era)
 
     async def delete(self, kind: str, name: str) -> None:
         """Remove an object; it is no error if it is gone already."""
@@ -144,36 +204,47 @@
 
     async def watch(self, client: HttpClient, kind: str, revision: int) -> WatchedChanges | None:
         """Wait for changes after ``revision``; None if the platform has forgotten some."""
-        path = f"/v1/objects/{kind}?Watch={revision}&WaitMs={WATCH_WAIT_MS}"
+        era = revision // ERA_REVISIONS
+        if era != self.era:
+            return None
+        path = f"/v1/objects/{kind}?Watch={revision % ERA_REVISIONS}&WaitMs={WATCH_WAIT_MS}"
         timeout_s = WATCH_WAIT_MS / 1000 + WATCH_SLACK_S
-        status, value = await self._call_on(client, "GET", path, None, timeout_s)
-        if status == 410:
+        answer = await self._call_on(client, "GET", path, None, timeout_s)
+        if answer.status == 410 or answer.era != era:
+            # Of another era: what changed before the numbers met again is not among its events.
             return None
-        if status != 200 or not isinstance(value, dict):
-            raise PlatformUnavailableError(f"watching {kind} was answered {status}")
+        value = answer.value
+        if answer.status != 200 or not isinstance(value, dict):
+            raise PlatformUnavailableError(f"watching {kind} was answered {answer.status}")
         try:
             changes = [
-                (bool(event.get("Tombstone")), parse_object(event["Object"]))
+                (bool(event.get("Tombstone")), parse_object(event["Object"], era))
                 for event in value.get("events") or ()
             ]
-            return WatchedChanges(changes, int(value["CurrentRev"]))
+            return WatchedChanges(changes, _revision(value["CurrentRev"], era))
         except (KeyError, TypeError, ValueError, AttributeError) as error:
             raise PlatformUnavailableError(f"a change of {kind} is unusable: {error!r}") from None
 
 
-def _parse_page(status: int, value: Any) -> tuple[list[StoredObject], int, bool]:
+def _revision(told: Any, era: int) -> int:
+    """Return the platform's revision numbered by its era first."""
+    return era * ERA_REVISIONS + int(told)
+
+
+def _parse_page(answer: _Answer) -> tuple[list[StoredObject], int, bool]:
     """Return a page's objects, the revision they stand at and whether more pages follow."""
-    if status == 404:
+    if answer.status == 404:
         return [], 0, False
+    value, era = answer.value, answer.era
     try:
-        items = [parse_object(item) for item in value.get("items") or ()]
-        return items, int(value["CurrentRev"]), bool(value.get("MorePages"))
+        items = [parse_object(item, era) for item in value.get("items") or ()]
+        return items, _revision(value["CurrentRev"], era), bool(value.get("MorePages"))
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise PlatformUnavailableError(f"a list is unusable: {error!r}") from None
 
 
-def parse_object(value: Any) -> StoredObject:
-    """Return the object that ``value`` holds.
+def parse_object(value: Any, era: int = 0) -> StoredObject:
+    """Return the object that ``value`` holds, as it stands in ``era``.
 
     Raises
     ------
@@ -182,6 +253,7 @@
     """
     try:
         meta = value["meta"]
-        return StoredObject(str(meta["Name"]), int(meta["Revision"]), value.get("spec"))
+        revision = _revision(meta["Revision"], era)
+        return StoredObject(str(meta["Name"]), revision, value.get("spec"))
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise PlatformUnavailableError(f"an object is unusable: {error!r}") from None
--- a/wharftiller/tests/core/leadership/histories.py
+++ b/wharftiller/tests/core/leadership/histories.py
@@ -31,6 +31,12 @@
 CALL_S = 0.8
 """Longest time of an answered call, in seconds."""
 
+COPY_AGE_S = 5.0
+"""Greatest age of a copy that the platform comes back from, in seconds."""
+
+ERA_REVISIONS = 10**6
+"""Revisions of one era; those of the next come after them, whatever the platform counts."""
+
 
 @attrs.frozen
 class Rules:
@@ -45,6 +51,9 @@
     promoter_is_old_member: bool = True
     marks_must_stand: bool = True
     answered_rounds_count: bool = True
+    updates_count: bool = True
+    confirmed_first: bool = True
+    settled_first: bool = True
 
 
 class WeakTable(LeaseTable):
@@ -52,6 +61,21 @@
 
     rules = Rules()
 
+    def adopt(self, record: LeadershipRecord) -> bool:
+        """Take in a record; without the rule also one that lacks updates."""
+        if not self.rules.updates_count:
+            record = attrs.evolve(record, updates=max(record.updates, self.record.updates))
+        return super().adopt(record)
+
+    def read(self, record: LeadershipRecord, asked_at: float) -> None:
+        """Take in a read; without the rule also one that lacks updates."""
+        if not self.rules.updates_count:
+            updates = max(record.updates, self.record.updates)
+            record = attrs.evolve(record, updates=updates)
+        if not self.rules.confirmed_first:
+            record = attrs.evolve(record, is_confirmed=True)
+        super().read(record, asked_at)
+
     def round_ended(self, answers: Iterable[RoundAnswer], asked_at: float) -> bool:
         """Renew by a round, under weaker rules where some are taken out."""
         answers = list(answers)
@@ -105,10 +129,16 @@
     ----------
     deaths : bool
         Whether boxes also end for good and are marked as dead, rightly or wrongly.
+    restores : bool
+        Whether the platform also comes back from copies some seconds old.
     """
 
-    def __init__(self, seed: int, rules: Rules, *, deaths: bool = False) -> None:
+    def __init__(
+        self, seed: int, rules: Rules, *, deaths: bool = False, restores: bool = False
+    ) -> None:
         self._deaths = deaths
+        self._restores = restores
+        self._era = 0
         self._random = random.Random(seed)
         self._rules = rules
         self._events: list[_Event] = []
@@ -133,6 +163,8 @@
         for _ in range(self._random.randint(2, 4)):
             self._start_box()
         self._at(self._random.uniform(0, 4), self._trouble)
+        if self._restores:
+            self._at(self._random.uniform(2, 10), self._copy)
         while self._events and self.now < END_S:
             event = heapq.heappop(self._events)
             self.now = max(self.now, event.at)
@@ -218,6 +250,8 @@
         counted_at = asked_at if self._rules.asked_time_counts else self.now
         box.table.listed([name for name in listed if name != box.name], counted_at)
         box.table.read(record, counted_at)
+        if self._reaches_platform(box):
+            self._write_back(box)
 
     def _round(self, box: ModelBox) -> None:
         self._later(box, lambda: self._round_now(box))
@@ -276,6 +310,39 @@
             case _:
                 self._later(box, lambda: self._win(box))
 
+    # Copies of the platform ----------------------------------------------
+
+    def _copy(self) -> None:
+        """Take a copy; the platform is away in some seconds and comes back from it."""
+        revision, record = self.revision, self.record
+        listed, marks = dict(self.listed), dict(self.marks)
+        away_s = self._random.uniform(0.2, 3.0)
+
+        def away() -> None:
+            self._platform_away_until = max(self._platform_away_until, self.now + away_s)
+            self._at(away_s, back)
+
+        def back() -> None:
+            self._era += 1
+            self.revision = self._era * ERA_REVISIONS + revision
+            self.record = attrs.evolve(
+                record,
+                revision=self._era * ERA_REVISIONS + record.revision % ERA_REVISIONS,
+                is_confirmed=False,
+            )
+            self.listed, self.marks = listed, marks
+
+        self._at(self._random.uniform(0.1, COPY_AGE_S), away)
+        self._at(self._random.uniform(8, 20), self._copy)
+
+    def _write_back(self, box: ModelBox) -> None:
+        written = box.table.to_write_back(self.now)
+        if written is None or self.record.revision != written.revision:
+            return
+        self.revision += 1
+        self.record = attrs.evolve(written, revision=self.revision, is_confirmed=True)
+        box.table.adopt(self.record)
+
     # A change of primary ------------------------------------------------
 
     def _win(self, box: ModelBox) -> None:
@@ -284,6 +351,8 @@
         believed = box.table.record
         if believed.revision != self.record.revision:
             return
+        if self._rules.settled_first and not box.table.is_settled(self.now):
+            return
         state = believed.groups[GROUP]
         match state:
             case Leading():
@@ -295,7 +364,13 @@
         self.revision += 1
         self._written_at = self.now
         self.record = attrs.evolve(
-            believed, revision=self.revision, fence=believed.fence + 1, holder=box.name
+            believed,
+            revision=self.revision,
+            fence=believed.fence + 1,
+            holder=box.name,
+            updates=believed.updates + 1,
+            is_confirmed=True,
+            is_written_back=False,
         ).with_group(GROUP, moving)
         won = self.record
         box.moving = True
@@ -373,17 +448,20 @@
             return
         self.revision += 1
         leading = Leading(won.moving[GROUP].successor, self.revision)
-        self.record = attrs.evolve(won, revision=self.revision).with_group(GROUP, leading)
+        led = attrs.evolve(won, revision=self.revision, updates=won.updates + 1)
+        self.record = led.with_group(GROUP, leading)
         box.table.adopt(self.record)
         box.moving = False
 
 
-def play(seeds: Iterable[int], rules: Rules, *, deaths: bool = False) -> tuple[int, list[int]]:
+def play(
+    seeds: Iterable[int], rules: Rules, *, deaths: bool = False, restores: bool = False
+) -> tuple[int, list[int]]:
     """Return the promotions of these histories, and the seeds in which a use was wrong."""
     promotions = 0
     wrong: list[int] = []
     for seed in seeds:
-        history = History(seed, rules, deaths=deaths)
+        history = History(seed, rules, deaths=deaths, restores=restores)
         history.run()
         promotions += history.promotions
         if history.wrong:
--- a/wharftiller/tests/core/leadership/test_lease.py
+++ b/wharftiller/tests/core/leadership/test_lease.py
@@ -4,12 +4,14 @@
 
 import math
 
+import attrs
 import pytest
 
 from wharftiller.core.leadership import lease
 from wharftiller.core.leadership.lease import (
     LEASE_S,
     LISTING_S,
+    UNSETTLED_S,
     LeaseTable,
     RoundAnswer,
     holds_no_lease,
@@ -175,3 +177,54 @@
     ) -> None:
         assert play([seed], rules, deaths=True)[1] == [seed]
         assert play([seed], Rules(), deaths=True)[1] == []
+
+
+class TestRestoredPlatform:
+    """The platform comes back from copies some seconds old, every 8 to 20 s."""
+
+    def test_no_box_uses_an_old_primary(self) -> None:
+        promotions, wrong = play(range(400), Rules(), restores=True)
+        assert promotions > 400
+        assert wrong == []
+
+    @pytest.mark.parametrize("seed", [651])
+    def test_no_old_primary_is_used_where_all_who_knew_ended(self, seed: int) -> None:
+        assert play([seed], Rules(), restores=True)[1] == []
+
+    @pytest.mark.parametrize(
+        ("rules", "seed"),
+        [
+            (Rules(updates_count=False), 2),
+            (Rules(confirmed_first=False), 590),
+            (Rules(settled_first=False), 413),
+        ],
+        ids=["updates do not count", "reads count before it is confirmed", "lists count at once"],
+    )
+    def test_without_one_rule_a_box_uses_an_old_primary(self, rules: Rules, seed: int) -> None:
+        assert play([seed], rules, restores=True)[1] == [seed]
+
+    def test_what_was_lost_never_comes_back_over_what_was_confirmed(
+        self, table: LeaseTable
+    ) -> None:
+        stood = attrs.evolve(record(9, Leading("one")), is_confirmed=False)
+        table.read(stood, 1.0)
+        assert table.round_ended([answer("box-2"), answer("box-3")], 2.0)
+        confirmed = table.to_write_back(2.5)
+        assert confirmed is not None
+        assert confirmed.revision == 9
+        table.adopt(attrs.evolve(confirmed, revision=10))
+        lost = attrs.evolve(record(8, Leading("two")), updates=50)
+        assert not table.adopt(lost)
+
+    def test_a_silent_box_delays_the_confirmation(self, table: LeaseTable) -> None:
+        table.read(attrs.evolve(record(9, Leading("one")), is_confirmed=False), 1.0)
+        assert not table.round_ended([answer("box-2")], 2.0)
+        assert table.to_write_back(1.0 + UNSETTLED_S) is None
+        assert table.to_write_back(1.1 + UNSETTLED_S) is not None
+        assert not table.is_settled(1.1 + UNSETTLED_S)
+
+    def test_a_read_that_comes_late_is_not_taken_for_a_restoration(self, table: LeaseTable) -> None:
+        table.adopt(attrs.evolve(record(5, Leading("two")), updates=1))
+        table.read(record(4, Leading("one")), 1.0)
+        assert table.to_write_back(1.0) is None
+        assert table.is_settled(1.0)
