--- a/wharftiller/core/sessions/allowances/keepers.py
+++ b/wharftiller/core/sessions/allowances/keepers.py
@@ -20,8 +20,9 @@
     from wharftiller.core.sessions.allowances.shares import LoanAnswer, LoanQuestion
     from wharftiller.core.sessions.workspaces import Allowance, Workspace
 
-FIRST_TOKENS = 1.0
-"""What a new keeper's bucket holds: what the one before granted is not known to it."""
+FIRST_TOKENS = 3.0
+"""What a new keeper's bucket holds: what the one before granted is not known to it. Callers of a
+small workspace that all come back at once need some at once."""
 
 HISTORY_S = 10.0
 """For how long lists of boxes are remembered, in seconds: longer than any bucket takes to fill."""
--- a/wharftiller/daemons/sessions/allowances/keeper_desk.py
+++ b/wharftiller/daemons/sessions/allowances/keeper_desk.py
@@ -156,9 +156,19 @@
         self._note_list(now)
         self._keeper.forget_idle(now)
 
+    def _knows_list(self) -> bool:
+        """Return whether this box's list of its data centre is that which the others have.
+
+        One that has just started has it from the platform or from a neighbour. While the platform
+        is away neighbours may have started as well and know as little.
+        """
+        if self._directory.listed_since is not None:
+            return True
+        return self._directory.platform_answers and len(self._directory.list.near) > 1
+
     def _note_list(self, now: float) -> None:
         boxes = self._directory.list
-        is_listed = self._directory.listed_since is not None
+        is_listed = self._knows_list()
         if boxes is not self._noted or is_listed != self._noted_listed:
             self._noted = boxes
             self._noted_listed = is_listed
