Keep queues at endpoints short, and use every slot that homes share

Beside it homes rounded their limit of statements at once down: three homes on five slots ran three, so 0.8 of what the primary can run did not fit.

Change: a statement waits 0.3 of its goal, from its arrival on; where its turn is expected later it is refused at once, and comes back after a crest (1 s), not into it. Turns go by arrival, so that one which an endpoint was too busy for keeps its place. The limit of statements at once is rounded up.

--- a/wharftiller/core/sessions/come_back.py
+++ b/wharftiller/core/sessions/come_back.py
@@ -26,6 +26,13 @@
 MOST_S = 8.0
 """Nobody is told to come back later, in seconds: the longest wait of a change of primary."""
 
+CREST_S = 1.0
+"""Time beyond a queue's own after which callers that it was too long for come back, in seconds.
+
+A crest lasts for seconds. Who comes back within it is refused again or takes another's place, and
+has only a few tries within its deadline, which is 2.5 s for the most urgent.
+"""
+
 SPREAD = 0.25
 """Part of the time by which callers are spread either way."""
 
@@ -90,6 +97,17 @@
     return UNREACHABLE_BEHIND_CUT_S + LEASE_S + change_s - outlook.silent_s
 
 
+def back_after_queue_s(queue_s: float) -> float:
+    """Return when a caller should come back for whom a queue was too long, in seconds from now.
+
+    Parameters
+    ----------
+    queue_s : float
+        How long that queue takes, in seconds.
+    """
+    return queue_s + CREST_S
+
+
 def told_s(after_s: float, request_id: str) -> float:
     """Return what one caller is told for ``after_s`` seconds, within sensible bounds."""
     part = zlib.crc32(request_id.encode()) % 1000 / 1000
--- a/wharftiller/core/sessions/concurrency.py
+++ b/wharftiller/core/sessions/concurrency.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import math
+
 import attrs
 
 DECREASE = 0.7
@@ -30,8 +32,12 @@
     _decreased_at: float = float("-inf")
 
     def places(self, most: int) -> int:
-        """Return how many statements may run at once, of ``most`` at any time."""
-        return int(min(self._limit, most))
+        """Return how many statements may run at once, of ``most`` at any time.
+
+        A limit between two numbers allows the higher: rounded down, some homes that share few
+        slots leave those idle that the parts of all of them add up to.
+        """
+        return min(most, math.ceil(min(self._limit, most)))
 
     def busy(self, running: int, now: float) -> None:
         """Note a refusal for being busy while ``running`` statements of this box ran."""
--- a/wharftiller/daemons/sessions/connections/place_queue.py
+++ b/wharftiller/daemons/sessions/connections/place_queue.py
@@ -8,22 +8,36 @@
 import trio
 
 
+@attrs.frozen(order=True)
+class Turn:
+    """When a statement's turn comes: the lower goes first.
+
+    Attributes
+    ----------
+    priority : int
+        Of its route.
+    arrived_at : float
+        When it came to this box, in seconds: one that an endpoint was too busy for keeps its place.
+    ticket : int
+        Rises with each that waits.
+    """
+
+    priority: int
+    arrived_at: float
+    ticket: int
+
+
 @attrs.define(order=True)
 class Waiter:
     """A statement that waits.
 
     Attributes
     ----------
-    priority : int
-        Of its route; the lower goes first.
-    ticket : int
-        Rises with each statement that comes.
     woken : trio.Event
         Set when it is its turn.
     """
 
-    priority: int
-    ticket: int
+    turn: Turn
     woken: trio.Event = attrs.field(factory=trio.Event, order=False)
 
 
@@ -36,13 +50,13 @@
     def __len__(self) -> int:
         return len(self._waiters)
 
-    def ahead(self, priority: int, ticket: int) -> int:
-        """Return how many go before a statement."""
-        return sum(1 for each in self._waiters if (each.priority, each.ticket) < (priority, ticket))
+    def ahead(self, turn: Turn) -> int:
+        """Return how many go before ``turn``."""
+        return sum(1 for each in self._waiters if each.turn < turn)
 
-    def join(self, priority: int, ticket: int) -> Waiter:
+    def join(self, turn: Turn) -> Waiter:
         """Add a statement."""
-        waiter = Waiter(priority, ticket)
+        waiter = Waiter(turn)
         heapq.heappush(self._waiters, waiter)
         return waiter
 
--- a/wharftiller/daemons/sessions/connections/pool.py
+++ b/wharftiller/daemons/sessions/connections/pool.py
@@ -12,7 +12,8 @@
 from wharftiller.core.errors import EndpointRefusedError, ExchangeError
 from wharftiller.core.sessions.concurrency import ConcurrencyLimit
 from wharftiller.core.sessions.figures import ConnectionCounts
-from wharftiller.daemons.sessions.connections.place_queue import PlaceQueue, Waiter
+from wharftiller.core.sessions.waiting import WaitLimit
+from wharftiller.daemons.sessions.connections.place_queue import PlaceQueue, Turn, Waiter
 from wharftiller.daemons.sessions.connections.pooled_connection import PooledConnection
 
 if TYPE_CHECKING:
@@ -117,14 +118,17 @@
         if self._limit.places(self.share() + EXTRA_CONNECTIONS) > before:
             self.wake_next()
 
-    async def acquire(self, session: Session, priority: int, patience_s: float) -> PooledConnection:
+    async def acquire(
+        self, session: Session, priority: int, arrived_at: float, limit: WaitLimit
+    ) -> PooledConnection:
         """Return a connection for one session's use, waiting for one if need be.
 
         Parameters
         ----------
-        patience_s : float
-            Longest wait, in seconds. Where those ahead will take longer than that, it is
-            not begun at all.
+        priority : int
+            The lower goes first; of the same, who arrived first.
+        arrived_at : float
+            In seconds.
 
         Raises
         ------
@@ -134,35 +138,40 @@
             If it cannot be reached.
         """
         workspace = session.workspace_name
-        return await self._acquire(workspace, session.values, priority, patience_s)
+        return await self._acquire(workspace, session.values, priority, arrived_at, limit)
 
     async def acquire_for_box(self, priority: int, patience_s: float) -> PooledConnection:
         """Return a connection for this box's own statements, whosever it is.
 
         Raises as `acquire` does.
         """
-        return await self._acquire(None, {}, priority, patience_s)
+        now = trio.current_time()
+        limit = WaitLimit(now + patience_s, now + patience_s)
+        return await self._acquire(None, {}, priority, now, limit)
 
     async def _acquire(
         self,
         workspace: str | None,
         values: dict[str, str],
         priority: int,
-        patience_s: float,
+        arrived_at: float,
+        limit: WaitLimit,
     ) -> PooledConnection:
         """Return an idle connection of ``workspace``, of any if None, or a new one."""
-        ticket = next(self._numbers)
-        until = trio.current_time() + patience_s
+        turn = Turn(priority, arrived_at, next(self._numbers))
+        begun = False
         while True:
             self._drop_closed()
             if self._running >= self._limit.places(self.share() + EXTRA_CONNECTIONS):
-                await self._wait(priority, ticket, until)
+                await self._wait(turn, limit, begun=begun)
+                begun = True
                 continue
             idle = self._take_idle(workspace, values)
             if idle is not None:
                 return idle
             if not self._has_room() and not self._make_room():
-                await self._wait(priority, ticket, until)
+                await self._wait(turn, limit, begun=begun)
+                begun = True
                 continue
             opened = await self._open(workspace or "")
             if opened is not None:
@@ -202,31 +211,37 @@
         self._idle.remove(connection)
         return connection
 
-    def _expected_wait_s(self, priority: int, ticket: int) -> float:
+    def _expected_wait_s(self, turn: Turn) -> float:
         """Return how long it takes at least until a statement gets its turn, in seconds."""
         places = max(1, self._limit.places(self.share() + EXTRA_CONNECTIONS))
-        queue_s = (self._queue.ahead(priority, ticket) + 1) * self.row.service_s / places
+        queue_s = (self._queue.ahead(turn) + 1) * self.row.service_s / places
         if self._all:
             return queue_s
         return queue_s + max(0.0, self._refused_until - trio.current_time())
 
-    async def _wait(self, priority: int, ticket: int, until: float) -> None:
-        """Wait for a connection; the lower ``priority`` goes first, then who came first.
+    async def _wait(self, turn: Turn, limit: WaitLimit, *, begun: bool) -> None:
+        """Wait for a connection.
+
+        Parameters
+        ----------
+        begun : bool
+            Whether it waited before; who has waited is not sent away for what is left.
 
         Raises
         ------
         EndpointRefusedError
-            If none comes by ``until`` (seconds), or surely not by then.
+            If none comes in time, or probably not.
         """
-        expected_s = self._expected_wait_s(priority, ticket)
-        if trio.current_time() + expected_s > until:
+        expected_s = self._expected_wait_s(turn)
+        latest = limit.until if begun else limit.begun_until
+        if trio.current_time() + expected_s > latest:
             detail = f"the queue for {self.row.name} takes {expected_s:.2f} s"
             raise EndpointRefusedError(
                 detail, at_limit=True, queue_s=expected_s if self._all else None
             )
-        waiter = self._queue.join(priority, ticket)
+        waiter = self._queue.join(turn)
         try:
-            with trio.move_on_at(until):
+            with trio.move_on_at(limit.until):
                 await self._wait_turn(waiter)
                 return
         except trio.Cancelled:
--- a/wharftiller/daemons/sessions/serving/choice.py
+++ b/wharftiller/daemons/sessions/serving/choice.py
@@ -7,9 +7,15 @@
 import trio
 
 from wharftiller.core.errors import EndpointRefusedError, ExchangeError
-from wharftiller.core.sessions.come_back import SOON_S, Cause, primary_back_in_s
+from wharftiller.core.sessions.come_back import (
+    SOON_S,
+    Cause,
+    back_after_queue_s,
+    primary_back_in_s,
+)
 from wharftiller.core.sessions.routing import AnyReplica, need_of_read, replica_order
 from wharftiller.core.sessions.statements import RefusalKind
+from wharftiller.core.sessions.waiting import wait_limit
 from wharftiller.daemons.sessions.serving.routed import NoPlaceError, StatementRefusedError
 
 if TYPE_CHECKING:
@@ -128,12 +134,14 @@
         """
         try:
             route = routed.route
+            limit = wait_limit(routed.arrived_at, route.latency_goal_s, trio.current_time())
             return await self._state.endpoints.pool(row).acquire(
-                routed.session, route.priority, route.latency_goal_s
+                routed.session, route.priority, routed.arrived_at, limit
             )
         except EndpointRefusedError as error:
             if error.at_limit and error.queue_s is not None:
-                raise NoPlaceError(str(error), Cause.QUEUE, error.queue_s) from error
+                after_s = back_after_queue_s(error.queue_s)
+                raise NoPlaceError(str(error), Cause.QUEUE, after_s) from error
             if error.at_limit:
                 raise NoPlaceError(str(error), Cause.ENDPOINT_FULL, SOON_S) from error
             raise StatementRefusedError(
--- /dev/null
+++ b/wharftiller/tests/core/sessions/test_waiting.py
@@ -0,0 +1,24 @@
+"""How long a statement waits for a place, by when it came."""
+
+from __future__ import annotations
+
+import pytest
+
+from wharftiller.core.sessions.waiting import LATE_PART, QUEUED_PART, wait_limit
+
+GOAL_S = 0.4
+
+
+class TestWaitLimit:
+    def test_time_to_run_is_left(self) -> None:
+        limit = wait_limit(arrived_at=10.0, goal_s=GOAL_S, now=10.0)
+        assert limit.begun_until == pytest.approx(10.0 + QUEUED_PART * GOAL_S)
+        assert limit.until == pytest.approx(10.0 + GOAL_S)
+
+    def test_what_it_waited_elsewhere_counts(self) -> None:
+        waited = wait_limit(arrived_at=10.0, goal_s=GOAL_S, now=10.05)
+        assert waited == wait_limit(arrived_at=10.0, goal_s=GOAL_S, now=10.0)
+
+    def test_who_was_held_for_long_waits_a_moment(self) -> None:
+        limit = wait_limit(arrived_at=10.0, goal_s=GOAL_S, now=11.0)
+        assert limit.begun_until == limit.until == pytest.approx(11.0 + LATE_PART * GOAL_S)
--- a/wharftiller/tests/daemons/sessions/connections/test_pool.py
+++ b/wharftiller/tests/daemons/sessions/connections/test_pool.py
@@ -27,6 +27,7 @@
     SessionState,
     SetValue,
 )
+from wharftiller.core.sessions.waiting import WaitLimit
 from wharftiller.core.sessions.workspaces import Workspace
 from wharftiller.daemons.sessions.connections.pool import (
     EXTRA_CONNECTIONS,
@@ -92,6 +93,19 @@
     trio.run(story, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
+async def acquire(
+    pool: EndpointPool,
+    patience_s: float = GOAL_S,
+    *,
+    priority: int = 1,
+    of: Session | None = None,
+) -> PooledConnection:
+    """Acquire a connection for a session, waiting for ``patience_s`` seconds at most."""
+    now = trio.current_time()
+    limit = WaitLimit(now + patience_s, now + patience_s)
+    return await pool.acquire(of or session(), priority, now, limit)
+
+
 async def freed_after(dialer: FakeDialer, seconds: float) -> None:
     await trio.sleep(seconds)
     dialer.free += 1
@@ -106,7 +120,7 @@
             pool = make_pool(dialer)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(freed_after, dialer, 0.15)
-                connection = await pool.acquire(session(), 1, GOAL_S)
+                connection = await acquire(pool)
             assert isinstance(connection, PooledConnection)
             assert trio.current_time() < GOAL_S
 
@@ -117,7 +131,7 @@
             pool = make_pool(FakeDialer(free=0))
             patience_s = REFUSED_PAUSE_S / 2
             with pytest.raises(EndpointRefusedError):
-                await pool.acquire(session(), 1, patience_s)
+                await acquire(pool, patience_s)
             assert trio.current_time() < patience_s
 
         run(story)
@@ -126,7 +140,7 @@
         async def story() -> None:
             pool = make_pool(FakeDialer(free=0))
             with pytest.raises(EndpointRefusedError):
-                await pool.acquire(session(), 1, GOAL_S)
+                await acquire(pool)
             assert trio.current_time() <= GOAL_S + 0.001
 
         run(story)
@@ -138,7 +152,7 @@
 
             async def ask() -> None:
                 with pytest.raises(EndpointRefusedError):
-                    await pool.acquire(session(), 1, GOAL_S)
+                    await acquire(pool)
 
             async with trio.open_nursery() as nursery:
                 for _ in range(30):
@@ -155,7 +169,7 @@
             served: list[int] = []
 
             async def ask(priority: int) -> None:
-                connection = await pool.acquire(session(), priority, 2.0)
+                connection = await acquire(pool, 2.0, priority=priority)
                 served.append(priority)
                 connection.release()
 
@@ -171,10 +185,10 @@
         async def story() -> None:
             dialer = FakeDialer(free=1)
             pool = make_pool(dialer)
-            await pool.acquire(session(), 1, GOAL_S)
+            await acquire(pool)
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(freed_after, dialer, 0.15)
-                await pool.acquire(session(), 1, GOAL_S)
+                await acquire(pool)
             assert pool.total == 2
 
         run(story)
@@ -185,13 +199,13 @@
         async def story() -> None:
             dialer = FakeDialer(free=16)
             pool = make_pool(dialer)
-            taken = [await pool.acquire(session(), 1, GOAL_S) for _ in range(3)]
+            taken = [await acquire(pool) for _ in range(3)]
             for connection in taken:
                 connection.release()
             # One statement at a time, each on the connection used last.
             for _ in range(10):
                 await trio.sleep(EXTRA_IDLE_S / 4)
-                (await pool.acquire(session(), 1, GOAL_S)).release()
+                (await acquire(pool)).release()
                 pool.trim(trio.current_time())
             assert pool.total == 1
             assert dialer.free == 15
@@ -206,7 +220,7 @@
 
     async def connection(self) -> tuple[PooledConnection, FakeConnection]:
         pool = make_pool(FakeDialer(free=1))
-        connection = await pool.acquire(session(), 1, GOAL_S)
+        connection = await acquire(pool)
         link = connection.link
         assert isinstance(link, FakeConnection)
         return connection, link
@@ -274,7 +288,7 @@
             dialer = FakeDialer(free=16)
             pool = make_pool(dialer, share=4)
             for name in ("rila", "vitosha", "rila"):
-                connection = await pool.acquire(self.of(name), 1, GOAL_S)
+                connection = await acquire(pool, of=self.of(name))
                 assert connection.workspace == name
                 connection.release()
             assert pool.total == 2
@@ -287,13 +301,13 @@
             dialer = FakeDialer(free=16)
             pool = make_pool(dialer)
             for name in ("rila", "vitosha", "pirin"):
-                (await pool.acquire(self.of(name), 1, GOAL_S)).release()
+                (await acquire(pool, of=self.of(name))).release()
             most = pool.total
-            (await pool.acquire(self.of("rodopi"), 1, GOAL_S)).release()
+            (await acquire(pool, of=self.of("rodopi"))).release()
             assert pool.total == most == 1 + EXTRA_CONNECTIONS
             assert pool.counts.replaced == 1
             asked = dialer.asked
-            (await pool.acquire(self.of("vitosha"), 1, GOAL_S)).release()
+            (await acquire(pool, of=self.of("vitosha"))).release()
             assert dialer.asked == asked
 
         run(story)
@@ -302,9 +316,9 @@
         async def story() -> None:
             dialer = FakeDialer(free=1)
             pool = make_pool(dialer)
-            (await pool.acquire(self.of("rila"), 1, GOAL_S)).release()
+            (await acquire(pool, of=self.of("rila"))).release()
             started = trio.current_time()
-            connection = await pool.acquire(self.of("vitosha"), 1, GOAL_S)
+            connection = await acquire(pool, of=self.of("vitosha"))
             assert connection.workspace == "vitosha"
             assert trio.current_time() - started < REFUSED_PAUSE_S
 
@@ -314,7 +328,7 @@
         async def story() -> None:
             dialer = FakeDialer(free=16)
             pool = make_pool(dialer)
-            (await pool.acquire(self.of("rila"), 1, GOAL_S)).release()
+            (await acquire(pool, of=self.of("rila"))).release()
             (await pool.acquire_for_box(0, GOAL_S)).release()
             assert dialer.asked == 1
 
@@ -323,11 +337,11 @@
     def test_a_workspace_that_waits_gets_the_place_that_another_gives_back(self) -> None:
         async def story() -> None:
             pool = make_pool(FakeDialer(free=3))
-            taken = [await pool.acquire(self.of("rila"), 1, GOAL_S) for _ in range(3)]
+            taken = [await acquire(pool, of=self.of("rila")) for _ in range(3)]
             got: list[str] = []
 
             async def ask(name: str) -> None:
-                connection = await pool.acquire(self.of(name), 1, GOAL_S)
+                connection = await acquire(pool, of=self.of(name))
                 got.append(connection.workspace)
 
             async with trio.open_nursery() as nursery:
