--- a/wharftiller/core/sessions/allowances/bounds.py
+++ b/wharftiller/core/sessions/allowances/bounds.py
@@ -26,8 +26,7 @@
 LEAST_BURST = 8.0
 """Operations at once that each data centre grants even to a small workspace.
 
-Of one that asks 3.75 operations a second, at random and 0.4 of them in one data centre, 0.05 were
-refused with 3 and 0.005 with 8 (12 histories of 40 s, rate and burst 6).
+Its callers come at random: now and then several at once, through one data centre.
 """
 
 
--- a/wharftiller/core/sessions/revisions.py
+++ b/wharftiller/core/sessions/revisions.py
@@ -16,8 +16,8 @@
 
     The platform raises one revision for every change of anything. Boxes that start and
     stop raise it too, and whoever follows configuration and endpoints must not take that
-    for a change that its watches did not tell: of nine boxes, three readers then read both
-    lists again for every box that started, 12 calls each time.
+    for a change that its watches did not tell, and read both lists again for every box that
+    starts.
 
     Every change has a revision of its own. So where the objects seen account for as many
     revisions as there were, nothing else can have changed.
--- a/wharftiller/core/sessions/routing.py
+++ b/wharftiller/core/sessions/routing.py
@@ -26,8 +26,7 @@
 """Time after a refusal for being behind before the replica is asked for as much again.
 
 A refusal costs a round trip; a replica that is spared for too long leaves its reads to the
-primary. Learned from each replica's refusals instead, between 0.02 and 1 s, 2,285 statements
-were refused instead of 1,701 (six days of seven boxes 11 ms apart, replicas 350 ms behind).
+primary.
 """
 
 POSITION_RECENT_S = 0.1
@@ -43,9 +42,8 @@
 DISTANCE_COST = 1.5
 """Statements that another data centre's endpoint is taken to run already.
 
-What is run elsewhere crosses between data centres, which operators pay for by the byte:
-with 0.15 (the round trip over a usual statement) 9.0 MB a day crossed, with 1.5 7.1 MB, at
-the same share served (six days of seven boxes in three data centres).
+What is run elsewhere crosses between data centres, which operators pay for by the byte; the
+way itself costs a tenth of a usual statement.
 """
 
 
--- a/wharftiller/daemons/sessions/allowances/keeper_desk.py
+++ b/wharftiller/daemons/sessions/allowances/keeper_desk.py
@@ -31,8 +31,7 @@
 LENDER_SILENT_S = 2.0
 """Time for which a keeper that did not answer is asked for no loan, in seconds.
 
-In a cut each question costs the operation that waits for it 0.05 s: 240 such questions in the 5 s
-of a cut of one data centre of three (22 boxes, 78 workspaces) without.
+In a cut each question costs the operation that waits for it the whole time to answer.
 """
 
 
--- a/wharftiller/daemons/sessions/connections/pool.py
+++ b/wharftiller/daemons/sessions/connections/pool.py
@@ -39,9 +39,9 @@
 EXTRA_IDLE_S = 0.4
 """Time after which an unused connection beyond the share is closed, in seconds.
 
-A box asks one endpoint every 0.1 to 0.2 s under load, on any connection that is idle: kept
-for 4 s, those beyond the share stayed for good and endpoints held 14 to 16 connections
-of 16, all but one or two idle. Boxes that had lost power then found no place for 3 s.
+Under load a box asks an endpoint several times a second, on any connection that is idle: kept for
+seconds, those beyond the share would stay for good, and boxes that lost power would find no place
+when they return.
 """
 
 MAINTENANCE_S = 0.25
--- a/wharftiller/daemons/sessions/leadership/mover.py
+++ b/wharftiller/daemons/sessions/leadership/mover.py
@@ -149,8 +149,8 @@
         writes while this one asks around makes it fail.
         """
         if not self._state.endpoints.rows:
-            # Knowing no endpoints yet, a box cannot tell a lost primary from an unknown one;
-            # of 60 boxes that start together 31 asked all others whether they hear it.
+            # Knowing no endpoints yet, a box cannot tell a lost primary from an unknown one, and
+            # of many that start together each would ask all others whether they hear it.
             return
         changed = self._writer.as_holder(record)
         for group, leading in record.groups.items():
@@ -239,8 +239,8 @@
         if self._seen is None or self._seen.revision != record.revision:
             self._seen = _Seen(record.revision, now)
         if not any(map(self._state.serves_group, record.moving)):
-            # A change that waits for a silent box's lease takes 6 s: were all boxes to ask
-            # about it, 195 would ask 37,830 questions a second.
+            # Were all boxes to ask about a change that waits for a silent box's lease, their
+            # questions would grow with the square of the boxes.
             return False
         seen_s = now - self._seen.at - self._take_over_turn(record) * FIRST_TURN_S
         if seen_s > FIRST_TURN_S:
--- a/wharftiller/daemons/sessions/membership/readers.py
+++ b/wharftiller/daemons/sessions/membership/readers.py
@@ -31,8 +31,7 @@
 MANY_BOXES = 16
 """Other boxes from which readers take the place of rounds.
 
-A round of 15 costs a box about 1% of a core and the deployment 0.1 MB a second; both
-grow with the square of the number.
+What rounds cost the deployment grows with the square of the number.
 """
 
 READERS_TRIED = 4
--- a/wharftiller/daemons/sessions/serving/choice.py
+++ b/wharftiller/daemons/sessions/serving/choice.py
@@ -30,8 +30,7 @@
 HOLD_FOR_PRIMARY_S = 0.7
 """How long a statement waits for a primary while one is being found, in seconds.
 
-As long as a promotion and its record take; a route's own time-out ends it sooner. Half and
-twice of it served as many within what runs differ by (docs/design/decisions.md).
+As long as a promotion and its record take; a route's own time-out ends it sooner.
 """
 
 
--- a/wharftiller/platform/feeds.py
+++ b/wharftiller/platform/feeds.py
@@ -35,8 +35,7 @@
 LIST_PART = 0.4
 """Time for a list, as a part of that within which a configuration is in force.
 
-A configuration of 1,800 routes has some 370 kB: 0.6 s on a link of 5 Mbit/s without anything
-else on it, so that 0.8 s, enough for other calls, failed again and again.
+A configuration of thousands of routes takes a slow link longer than other calls may take.
 """
 
 GATHER_S = 0.15
@@ -122,8 +121,8 @@
         )
         self._verified = max(self._verified, self._revision)
         self._account.saw(stored.revision for stored in objects.values())
-        # What a starting box reads first is news to nobody: told by each of 60 that start, it
-        # had every other one look, 3,540 words in half a second.
+        # What a starting box reads first is news to nobody: told by each of many that start, it
+        # would have every other one look.
         if self._take(objects, self._revision) and followed_before:
             self._missed()
         return objects
--- a/wharftiller/platform/objects.py
+++ b/wharftiller/platform/objects.py
@@ -282,8 +282,8 @@
         """Read everything as it stands now.
 
         While nothing changes only the record is listed, whose answer tells the platform's
-        revision: where that is the last list's, no entry has changed. Quiet day of 195 boxes, one
-        play each, with starts that read less: 19 -> 13 MB between data centres.
+        revision: where that is the last list's, no entry has changed, and the bytes of all
+        entries need not cross between data centres.
         """
         last = self._last
         if last is not None and self._is_calm:
