--- a/wharftiller/core/sessions/allowances/keepers.py
+++ b/wharftiller/core/sessions/allowances/keepers.py
@@ -51,14 +51,19 @@
     """Since when this box has been the keeper of each workspace, by the lists of boxes it had."""
 
     def __init__(self, box: str) -> None:
-        self.box = box
+        self._box = box
         self._lists: collections.deque[tuple[float, Sequence[str]]] = collections.deque()
         self.changes = 0
 
+    @property
+    def box(self) -> str:
+        """The name of this box."""
+        return self._box
+
     @property
     def is_listed(self) -> bool:
         """Whether the platform's list, which all boxes share, names this box."""
-        return bool(self._lists) and self.box in self._lists[-1][1]
+        return bool(self._lists) and self._box in self._lists[-1][1]
 
     def note(self, names: Sequence[str], now: float) -> None:
         """Note the boxes of this data centre that are listed from ``now`` (seconds) on."""
@@ -72,14 +77,14 @@
     def before(self, workspace: str) -> list[str]:
         """Return the listed boxes that come before this one in the workspace's order."""
         names = self._lists[-1][1] if self._lists else ()
-        order = keeper_order(workspace, {*names, self.box})
-        return order[: order.index(self.box)]
+        order = keeper_order(workspace, {*names, self._box})
+        return order[: order.index(self._box)]
 
     def since(self, workspace: str) -> float | None:
         """Return since when it has kept ``workspace``'s bucket; None if it does not."""
         kept: float | None = None
         for since, names in reversed(self._lists):
-            if self.box not in names or keeper_order(workspace, names)[0] != self.box:
+            if self._box not in names or keeper_order(workspace, names)[0] != self._box:
                 break
             kept = since
         return kept
--- a/wharftiller/core/sessions/doors.py
+++ b/wharftiller/core/sessions/doors.py
@@ -127,14 +127,19 @@
         self._resting: dict[Guest, float] = {}
         self._busy: set[Guest] = set()
         self._nearly_full = False
-        self.room = room_for_callers(limits, 0)
+        self._room = room_for_callers(limits, 0)
 
     def __len__(self) -> int:
         return len(self._silent) + len(self._resting) + len(self._busy)
 
+    @property
+    def room(self) -> int:
+        """How many callers' connections can be taken."""
+        return self._room
+
     def note_own(self, own: int) -> None:
         """Note how many connections of its own the box holds."""
-        self.room = room_for_callers(self._limits, own)
+        self._room = room_for_callers(self._limits, own)
 
     @property
     def is_nearly_full(self) -> bool:
--- a/wharftiller/daemons/sessions/allowances/gate.py
+++ b/wharftiller/daemons/sessions/allowances/gate.py
@@ -47,11 +47,14 @@
         When it was taken, in seconds.
     may_have_run : bool
         Whether the operation was sent to an endpoint that did not say that it has not run it.
+    holds_token : bool
+        Whether there is a token that can be given back.
     """
 
     workspace: Workspace | None
     taken_at: float
     may_have_run: bool = False
+    holds_token: bool = False
 
     def did_not_run(self) -> None:
         """Note that the endpoint said so: the token stands for the next try."""
@@ -115,14 +118,17 @@
     async def _take(self, admission: Admission) -> None:
         workspace = admission.workspace
         admission.taken_at = trio.current_time()
+        admission.holds_token = False
         if workspace is None or workspace.allowance is None:
             return
         held = self._held.setdefault(workspace.name, HeldTokens())
         if held.use(admission.taken_at):
+            admission.holds_token = True
             return
         grant = await self._ask(workspace, held)
         if held.use(trio.current_time()):
             self._state.figures.allowances["granted"] += 1
+            admission.holds_token = True
             return
         self._state.figures.allowances["refused"] += 1
         rate = workspace.allowance.rate_per_s
@@ -135,9 +141,8 @@
     def give_back(self, admission: Admission) -> None:
         """Return the token of an operation that did not run."""
         workspace = admission.workspace
-        if workspace is None or admission.may_have_run or workspace.name not in self._held:
-            return
-        self._held[workspace.name].give_back(trio.current_time())
+        if workspace is not None and admission.holds_token and not admission.may_have_run:
+            self._held[workspace.name].give_back(trio.current_time())
 
     async def _ask(self, workspace: Workspace, held: HeldTokens) -> Grant:
         """Take in and return what the workspace's keeper in this data centre grants.
--- a/wharftiller/tests/core/leadership/histories.py
+++ b/wharftiller/tests/core/leadership/histories.py
@@ -16,15 +16,10 @@
 
 import attrs
 
-from wharftiller.core.leadership.lease import (
-    LEASE_S,
-    LISTING_S,
-    LeaseTable,
-    RoundAnswer,
-    holds_no_lease,
-)
+from wharftiller.core.leadership.lease import LEASE_S, LISTING_S, RoundAnswer, holds_no_lease
 from wharftiller.core.leadership.moves import TAKE_OVER_S
 from wharftiller.core.leadership.record import LeadershipRecord, Leading, Moving
+from wharftiller.tests.core.leadership.weak_table import Rules, WeakTable
 
 GROUP = "seats"
 END_S = 60.0
@@ -38,67 +33,6 @@
 """Revisions of one era; those of the next come after them, whatever the platform counts."""
 
 
-@attrs.frozen
-class Rules:
-    """Which rules hold; all of them as the product has them."""
-
-    asked_time_counts: bool = True
-    every_box_answers: bool = True
-    restarted_boxes_read_first: bool = True
-    list_must_be_recent: bool = True
-    list_read_after_win: bool = True
-    registered_before_lease: bool = True
-    promoter_is_old_member: bool = True
-    marks_must_stand: bool = True
-    answered_rounds_count: bool = True
-    updates_count: bool = True
-    confirmed_first: bool = True
-    settled_first: bool = True
-
-
-class WeakTable(LeaseTable):
-    """A lease table without some rules."""
-
-    rules = Rules()
-
-    def adopt(self, record: LeadershipRecord) -> bool:
-        """Take in a record; without the rule also one that lacks updates."""
-        if not self.rules.updates_count:
-            record = attrs.evolve(record, updates=max(record.updates, self.record.updates))
-        return super().adopt(record)
-
-    def read(self, record: LeadershipRecord, asked_at: float) -> None:
-        """Take in a read; without the rule also one that lacks updates."""
-        if not self.rules.updates_count:
-            updates = max(record.updates, self.record.updates)
-            record = attrs.evolve(record, updates=updates)
-        if not self.rules.confirmed_first:
-            record = attrs.evolve(record, is_confirmed=True)
-        super().read(record, asked_at)
-
-    def round_ended(self, answers: Iterable[RoundAnswer], asked_at: float) -> bool:
-        """Renew by a round, under weaker rules where some are taken out."""
-        answers = list(answers)
-        for answer in answers:
-            self.adopt(answer.record)
-        rules = self.rules
-        answered = {
-            each.box
-            for each in answers
-            if each.has_read_platform or not rules.restarted_boxes_read_first
-        }
-        enough = (
-            self.boxes <= answered
-            if rules.every_box_answers
-            else 2 * (len(self.boxes & answered) + 1) > len(self.boxes) + 1
-        )
-        recent = asked_at - self.boxes_listed_at < LISTING_S or not rules.list_must_be_recent
-        if self.boxes and enough and recent and self.read_from_platform:
-            self._renew(asked_at)
-            return True
-        return False
-
-
 @attrs.define(eq=False)
 class ModelBox:
     """One box's process."""
--- a/wharftiller/tests/core/leadership/test_lease.py
+++ b/wharftiller/tests/core/leadership/test_lease.py
@@ -18,7 +18,8 @@
 )
 from wharftiller.core.leadership.record import LeadershipRecord, Leading, Moving
 from wharftiller.tests.core.leadership import histories
-from wharftiller.tests.core.leadership.histories import Rules, play
+from wharftiller.tests.core.leadership.histories import play
+from wharftiller.tests.core.leadership.weak_table import Rules
 
 GROUP = "seats"
 
--- a/wharftiller/tests/daemons/sessions/allowances/test_gate.py
+++ b/wharftiller/tests/daemons/sessions/allowances/test_gate.py
@@ -76,6 +76,20 @@
 
         with_gate(1, story)
 
+    def test_one_that_is_refused_gives_no_token_back(self) -> None:
+        async def story(gate: AllowanceGate, desk: Desk) -> None:
+            late, other = await gate.admit(RILA), await gate.admit(RILA)
+            await trio.sleep(USED_WITHIN_S * 3)
+            desk.tokens = 1
+            await gate.about_to_run(other)
+            with pytest.raises(NoTokenError):
+                await gate.about_to_run(late)
+            gate.give_back(late)
+            with pytest.raises(NoTokenError):
+                await gate.admit(RILA)
+
+        with_gate(2, story)
+
     def test_a_read_that_may_have_run_takes_another_for_the_next_endpoint(self) -> None:
         async def story(gate: AllowanceGate, desk: Desk) -> None:
             admission = await gate.admit(RILA)
