--- a/wharftiller/core/sessions/isolation.py
+++ b/wharftiller/core/sessions/isolation.py
@@ -89,9 +89,8 @@
     """Close the sessions of ``groups`` that rest now.
 
     Once only: long sessions stay where they open again, and the boxes that then hold most of
-    them answer late when they restart. With those that were busy closed at their next rest
-    too, 2,114 instead of 2,437 were refused, but 4,146 instead of 3,844 late and 2,222
-    instead of 2,057 failed (ten days of cuts and restarts of seven boxes).
+    them answer late when they restart.
+    Those that are busy now stay: fewer would be refused, but more answered late or cut.
     """
 
     groups: frozenset[str]
--- a/wharftiller/edges/http_server.py
+++ b/wharftiller/edges/http_server.py
@@ -1,7 +1,7 @@
 """HTTP/1.1 with JSON on trio streams, parsed by httptools.
 
-One path for every edge: it is the cheapest that was measured
-(docs/design/http.md), and it runs in virtual time over a network in memory.
+One path for every edge (docs/design/http.md weighs others); it also runs in virtual time over a
+network in memory.
 """
 
 from __future__ import annotations
