Let revisions of the model's eras never meet

The model of restored platforms took a revision that already held its era and added the next era to it, so that from the third restoration on two eras gave out the same numbers, and a conditional update decided in one era replaced a record of the next. The adapter refuses such updates (test_a_write_on_a_condition_of_a_former_era_replaces_nothing); the model had it by mistake.

--- a/wharftiller/tests/core/leadership/histories.py
+++ b/wharftiller/tests/core/leadership/histories.py
@@ -258,7 +258,7 @@
 
         def back() -> None:
             self._era += 1
-            self.revision = self._era * ERA_REVISIONS + revision
+            self.revision = self._era * ERA_REVISIONS + revision % ERA_REVISIONS
             self.record = attrs.evolve(
                 record,
                 revision=self._era * ERA_REVISIONS + record.revision % ERA_REVISIONS,
