Doubt what the platform came back with until leases or endpoints have spoken

Cause: boxes that knew nothing trusted the copy after a round of each other, or after 12 s, and a round gave them leases even before that. Neither asks anybody who can know.

Mend: a valid lease proves that nobody took over, since who does waits for it. So what came back extends leases and begins none; who writes it back marks the groups that it holds no lease on as doubted. A doubted primary is settled by a box that held a lease all the while, else by the endpoints' own words: the leader of the newest term is promoted once more, through the usual change of primary. For the present primary the platform answers that nothing changes, so this is safe also where the true one is out of sight. It waits 5 s for orders of boxes that ended (the take-over's own time), 12 s beside a silent or vanished endpoint, and with SyncReplicas 1 for all but one. Changes that came back are not gone on with: their old primary is doubted. Fences and updates written back start above every number of earlier eras (a second restoration gave both out again). Callers are refused at once meanwhile, with the time it takes.

Weighed: time alone (proves nothing); asking endpoints without promoting (wrong where the new primary crashed); majority of endpoints (a promotion needs none); confirming every restoration by endpoints (slower, and no surer than a lease).

--- a/wharftiller/core/leadership/lease.py
+++ b/wharftiller/core/leadership/lease.py
@@ -10,6 +10,10 @@
 the list answers, if each of them has read the record from the platform since it
 started, and if this box read the list from the platform itself within
 `LISTING_S`. A box that won or saw a newer revision tells it in its answer.
+
+Where the platform came back from a copy, a primary may have been replaced in the seconds
+that were lost, and every box that knew may have ended. What came back then renews only
+leases that are still valid: whoever replaced the primary would have waited for them.
 """
 
 from __future__ import annotations
@@ -215,9 +219,23 @@
         asked_all = self._round_counted_at > self._unsettled_since
         knows_more = self.record.updates > stood.updates
         if knows_more or asked_all or now - self._unsettled_since > UNSETTLED_S:
-            return self.record.confirmed_at(stood.revision)
+            return self.record.confirmed_at(stood.revision, self.surely_led(now))
         return None
 
+    def surely_led(self, now: float) -> set[str]:
+        """Return the groups on whose recorded primary there is a valid lease.
+
+        Nobody has replaced such a primary, whatever the platform lost: who does waits until
+        every lease on it has ended.
+        """
+        return {
+            group
+            for group, state in self.record.groups.items()
+            if isinstance(state, Leading)
+            and (lease := self.lease(group, now)) is not None
+            and lease.endpoint == state.endpoint
+        }
+
     def is_settled(self, now: float) -> bool:
         """Return whether the platform's list names every box that may hold a lease.
 
@@ -268,8 +286,14 @@
             if not isinstance(state, Leading):
                 continue
             lease = self._leases.get(group)
+            if self._only_extends(state) and (lease is None or not lease.valid(asked_at)):
+                continue
             if lease is None or lease.endpoint != state.endpoint or lease.closing:
                 self._leases[group] = GroupLease(state.endpoint, state.term, asked_at)
             else:
                 lease.checked_at = max(lease.checked_at, asked_at)
                 lease.term = state.term
+
+    def _only_extends(self, state: Leading) -> bool:
+        """Return whether checks extend a valid lease on this primary, but begin none."""
+        return state.is_doubted or self._unsettled is not None
--- a/wharftiller/core/leadership/record.py
+++ b/wharftiller/core/leadership/record.py
@@ -5,10 +5,15 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 import attrs
 
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
 LOST_MOST = 10_000
-"""More updates than are ever written in the seconds that a copy of the platform is old."""
+"""More updates, and fences, than are ever written in the seconds that a copy is old."""
 
 
 @attrs.frozen
@@ -20,10 +25,14 @@
     endpoint : str
     term : int
         The primary's term as it told it; 0 if never read.
+    is_doubted : bool
+        Whether this came back with a copy of the platform, and nothing has shown since that no
+        other endpoint was promoted in the seconds that were lost.
     """
 
     endpoint: str
     term: int = 0
+    is_doubted: bool = False
 
 
 @attrs.frozen
@@ -48,6 +57,14 @@
     planned: bool
     ordered: bool = False
 
+    @property
+    def may_be_called_off(self) -> bool:
+        """Whether the old primary leads on if it answers again.
+
+        A doubted one does not: that it answers tells nothing of whether it was replaced.
+        """
+        return not (self.planned or self.ordered or self.old.is_doubted)
+
 
 GroupLeadership = Leading | Moving
 
@@ -73,6 +90,8 @@
         Whether its last update only wrote it back after the platform had come back.
     is_confirmed : bool
         Whether it was written since the platform came back last.
+    era : int
+        Rises each time the platform comes back from a copy; the one in which this was read.
     """
 
     revision: int = 0
@@ -83,6 +102,7 @@
     updates: int = 0
     is_written_back: bool = False
     is_confirmed: bool = attrs.field(default=True, eq=False)
+    era: int = attrs.field(default=0, eq=False)
 
     def is_newer_than(self, other: LeadershipRecord) -> bool:
         """Return whether it followed ``other``."""
@@ -92,14 +112,42 @@
         """Return whether the platform came back with this after it had held ``other``."""
         return self.revision > other.revision and self.updates < other.updates
 
-    def confirmed_at(self, revision: int) -> LeadershipRecord:
+    def confirmed_at(self, revision: int, surely_led: Collection[str]) -> LeadershipRecord:
         """Return what is written over the record of ``revision`` that came back from a copy.
 
         It outranks every update that was lost with the seconds that the copy is old, so that a
-        box which still knows one of them does not bring it back later.
+        box which still knows one of them does not bring it back later, and no fence of those
+        seconds is given out again. Revisions rise from one restoration to the next, so it also
+        outranks what was written after an earlier one. A change of primary that came back may
+        have ended since: its old primary is doubted, and replaced anew if it has to be.
+
+        Parameters
+        ----------
+        surely_led : collection of str
+            The groups that are surely still led by whom this record names.
         """
-        updates = self.updates + LOST_MOST
-        return attrs.evolve(self, revision=revision, updates=updates, is_written_back=True)
+        groups: dict[str, GroupLeadership] = {
+            name: _led(state, is_doubted=name not in surely_led)
+            for name, state in self.groups.items()
+        }
+        return attrs.evolve(
+            self,
+            revision=revision,
+            fence=max(self.fence + LOST_MOST, revision),
+            updates=max(self.updates + LOST_MOST, revision),
+            groups=groups,
+            is_written_back=True,
+            is_confirmed=True,
+        )
+
+    @property
+    def doubted(self) -> dict[str, Leading]:
+        """The groups whose recorded primary may have been replaced in lost seconds."""
+        return {
+            name: state
+            for name, state in self.groups.items()
+            if isinstance(state, Leading) and state.is_doubted
+        }
 
     @property
     def moving(self) -> dict[str, Moving]:
@@ -117,3 +165,9 @@
     def with_group(self, group: str, state: GroupLeadership) -> LeadershipRecord:
         """Return the record with one group's state replaced."""
         return attrs.evolve(self, groups={**self.groups, group: state})
+
+
+def _led(state: GroupLeadership, *, is_doubted: bool) -> Leading:
+    """Return the primary that ``state`` names, doubted or not."""
+    leading = state if isinstance(state, Leading) else state.old
+    return attrs.evolve(leading, is_doubted=is_doubted)
--- a/wharftiller/daemons/sessions/leadership/changes.py
+++ b/wharftiller/daemons/sessions/leadership/changes.py
@@ -148,7 +148,7 @@
         async with trio.open_nursery() as nursery:
             for group, moving in record.moving.items():
                 row = self._state.endpoints.rows.get(moving.old.endpoint)
-                if row is not None and not moving.planned and not moving.ordered:
+                if row is not None and moving.may_be_called_off:
                     nursery.start_soon(ask, group, row)
         return answering
 
@@ -167,6 +167,9 @@
         return record
 
     async def _best_successor(self, group: str, moving: Moving) -> str | None:
+        if moving.old.is_doubted:
+            # Every endpoint was asked when it was chosen, the old primary among them.
+            return moving.successor
         caught_up = moving.planned and await self._successors.wait_caught_up(moving)
         if caught_up:
             return moving.successor
@@ -236,4 +239,6 @@
         self._state.check_soon.set()
         await self._tell(led)
         for group, leading in led.items():
-            self._prober.demote_soon(moved[group].old.endpoint, leading.term)
+            old = moved[group].old.endpoint
+            if old != leading.endpoint:
+                self._prober.demote_soon(old, leading.term)
--- /dev/null
+++ b/wharftiller/daemons/sessions/leadership/doubts.py
@@ -0,0 +1,90 @@
+"""Settle primaries that are doubted since the platform came back from a copy."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+import attrs
+import trio
+
+from wharftiller.core.leadership.doubts import DoubtEvidence, whom_to_promote
+
+if TYPE_CHECKING:
+    from wharftiller.core.leadership.record import LeadershipRecord, Leading
+    from wharftiller.core.sessions.endpoints import EndpointRow
+    from wharftiller.daemons.sessions.leadership.record_writer import RecordWriter
+    from wharftiller.daemons.sessions.leadership.successors import Successors
+    from wharftiller.daemons.sessions.state import SharedState
+
+TURN_S = 0.3
+"""Time by which each further box leaves a doubt to those before it, in seconds."""
+
+
+class DoubtedPrimaries:
+    """Clears doubts by this box's leases, else finds out whom to promote."""
+
+    def __init__(self, state: SharedState, writer: RecordWriter, successors: Successors) -> None:
+        self._state = state
+        self._writer = writer
+        self._successors = successors
+        self._era = -1
+        self._since = math.inf
+
+    def look(self, record: LeadershipRecord) -> None:
+        """Note since when primaries are doubted; a further restoration begins anew."""
+        if not record.doubted:
+            self._since = math.inf
+        elif self._since == math.inf or record.era != self._era:
+            self._since = trio.current_time()
+        self._era = record.era
+
+    async def clear(self, record: LeadershipRecord, turn: int) -> bool:
+        """Record as led what this box holds valid leases on; return whether it did.
+
+        Parameters
+        ----------
+        turn : int
+            How many boxes go first.
+        """
+        now = trio.current_time()
+        sure = record.doubted.keys() & self._state.leases.surely_led(now)
+        if not sure or now - self._since < turn * TURN_S:
+            return False
+        for group in sorted(sure):
+            leading = attrs.evolve(record.doubted[group], is_doubted=False)
+            record = record.with_group(group, leading)
+        self._state.log.change("doubts_cleared", groups=sorted(sure))
+        return await self._writer.write(record)
+
+    async def successor(self, group: str, doubted: Leading, turn: int) -> str | None:
+        """Return whom to promote in ``group``, None while that cannot be told."""
+        doubted_s = trio.current_time() - self._since - turn * TURN_S
+        words = await self._successors.words(group)
+        rows = self._rows_of(group)
+        answered = {word.name for word in words}
+        limits = self._state.configuration.groups.get(group)
+        evidence = DoubtEvidence(
+            words,
+            silent=frozenset(r.name for r in rows if not r.gone) - answered,
+            vanished=frozenset(r.name for r in rows if r.gone and not r.entry.leaving),
+            doubted_s=doubted_s,
+            is_settled=self._state.leases.is_settled(trio.current_time()),
+            sync_replicas=0 if limits is None else limits.sync_replicas,
+        )
+        successor = whom_to_promote(doubted, evidence)
+        self._state.log.event(
+            "primary_doubted",
+            group=group,
+            recorded=doubted.endpoint,
+            told=[f"{w.name}{' leads' if w.leads else ''} {w.term} {w.received}" for w in words],
+            silent=sorted(evidence.silent | evidence.vanished),
+            doubted_s=round(doubted_s, 1),
+            successor=successor,
+        )
+        return successor
+
+    def _rows_of(self, group: str) -> list[EndpointRow]:
+        """Return every endpoint of ``group`` that this box ever saw registered."""
+        rows = self._state.endpoints.rows.values()
+        return [row for row in rows if row.entry.group == group]
--- a/wharftiller/daemons/sessions/leadership/mover.py
+++ b/wharftiller/daemons/sessions/leadership/mover.py
@@ -25,6 +25,7 @@
     from wharftiller.core.leadership.record import LeadershipRecord
     from wharftiller.daemons.sessions.homes.homes import Homes
     from wharftiller.daemons.sessions.leadership.changes import ChangeRunner
+    from wharftiller.daemons.sessions.leadership.doubts import DoubtedPrimaries
     from wharftiller.daemons.sessions.leadership.record_writer import RecordWriter
     from wharftiller.daemons.sessions.leadership.successors import Successors
     from wharftiller.daemons.sessions.membership.box import Box
@@ -75,6 +76,7 @@
         writer: RecordWriter,
         successors: Successors,
         runner: ChangeRunner,
+        doubts: DoubtedPrimaries,
     ) -> None:
         self._state = state
         self._directory = directory
@@ -82,6 +84,7 @@
         self._writer = writer
         self._successors = successors
         self._runner = runner
+        self._doubts = doubts
         self._seen: _Seen | None = None
         self._heard_elsewhere_at: dict[str, float] = {}
         self._started_at = trio.current_time()
@@ -99,10 +102,14 @@
                 await trio.sleep(FAILED_PAUSE_S)
 
     async def _look(self) -> None:
-        if await self._writer.write_back() or not self._is_settled():
+        if await self._writer.write_back() or await self._clear_doubts():
             return
-        await self._first_record()
+        is_settled = self._is_settled()
+        if is_settled:
+            await self._first_record()
         record = self._state.leases.record
+        if not is_settled and not _concerns_doubts_only(record):
+            return
         if record.moving and record.holder == self._writer.incarnation:
             await self._runner.carry_on(record)
         elif record.moving:
@@ -112,6 +119,11 @@
         else:
             await self._start(record)
 
+    async def _clear_doubts(self) -> bool:
+        record = self._state.leases.record
+        self._doubts.look(record)
+        return bool(record.doubted) and await self._doubts.clear(record, self._turn("doubts"))
+
     def _is_settled(self) -> bool:
         """Return whether the platform's list and record may be built on."""
         return self._state.leases.is_settled(trio.current_time())
@@ -163,9 +175,12 @@
 
     async def _change_needed(self, group: str, leading: Leading) -> Moving | None:
         """Return the change that ``group`` needs, if it is this box's turn to start one."""
+        if leading.is_doubted:
+            successor = await self._doubts.successor(group, leading, self._turn(group))
+            return None if successor is None else Moving(leading, successor, planned=False)
         now = trio.current_time()
         row = self._state.endpoints.rows.get(leading.endpoint)
-        if row is not None and not row.may_need_successor:
+        if not self._is_settled() or (row is not None and not row.may_need_successor):
             return None
         turn = self._turn(group)
         planned = row is not None and must_leave(row, turn, now)
@@ -273,6 +288,17 @@
         return reply is not None and reply.incarnation != holder
 
 
+def _concerns_doubts_only(record: LeadershipRecord) -> bool:
+    """Return whether all that ``record`` leaves to be done is about doubted primaries.
+
+    That need not wait until the list of boxes may be built on: what the endpoints tell
+    replaces nobody whom a box may use.
+    """
+    if record.moving:
+        return all(moving.old.is_doubted for moving in record.moving.values())
+    return bool(record.doubted)
+
+
 def _box_of(holder: str) -> str:
     """Return the name of the box whose process ``holder`` is."""
     return holder.rpartition("/")[0]
--- a/wharftiller/daemons/sessions/leadership/record_writer.py
+++ b/wharftiller/daemons/sessions/leadership/record_writer.py
@@ -68,7 +68,12 @@
         record = self._state.leases.to_write_back(trio.current_time())
         if record is None:
             return False
-        self._state.log.change("record_written_back", over=record.revision, fence=record.fence)
+        self._state.log.change(
+            "record_written_back",
+            over=record.revision,
+            fence=record.fence,
+            doubted=sorted(record.doubted),
+        )
         attempt, asked_at = self._next_attempt()
         return await self._replace(attrs.evolve(record, attempt=attempt), asked_at)
 
--- a/wharftiller/daemons/sessions/leadership/stopping.py
+++ b/wharftiller/daemons/sessions/leadership/stopping.py
@@ -97,7 +97,7 @@
         answering = []
         for group, moving in record.moving.items():
             row = self._state.endpoints.rows.get(moving.old.endpoint)
-            if moving.planned or moving.ordered or row is None:
+            if not moving.may_be_called_off or row is None:
                 continue
             if row.heard_at > won_at:
                 self._state.log.change("old_primary_answers", group=group, endpoint=row.name)
--- a/wharftiller/daemons/sessions/leadership/successors.py
+++ b/wharftiller/daemons/sessions/leadership/successors.py
@@ -8,6 +8,7 @@
 import trio
 
 from wharftiller.core.errors import EndpointRefusedError, ExchangeError
+from wharftiller.core.leadership.doubts import EndpointWord
 from wharftiller.core.leadership.moves import Candidate, best_candidate
 from wharftiller.core.leadership.record import Leading, Moving
 
@@ -26,6 +27,10 @@
 LEADS_LOOK_S = 0.06
 """Time between looks at whether it does, in seconds."""
 
+TAKES_EFFECT_S = 1.5
+"""Time within which a promotion that was answered takes effect, in seconds: some hundred
+milliseconds on every platform known, and a margin."""
+
 
 class Successors:
     """Asks endpoints for what they have received and whether they lead."""
@@ -48,18 +53,37 @@
         return found
 
     async def _ask_replicas(self, group: str, old: str) -> list[Candidate]:
-        found: list[Candidate] = []
+        replicas = [
+            row
+            for row in self._state.endpoints.of_group(group)
+            if row.name != old and row.leaving_since is None
+        ]
+        return [
+            Candidate(row.name, status.received, row.entry.data_centre)
+            for row, status in await self._ask(replicas)
+        ]
+
+    async def words(self, group: str) -> tuple[EndpointWord, ...]:
+        """Return what every registered endpoint of ``group`` tells of itself, asked now."""
+        told = await self._ask(self._state.endpoints.of_group(group))
+        return tuple(
+            EndpointWord(row.name, status.leads, status.term, status.received)
+            for row, status in told
+        )
+
+    async def _ask(self, rows: list[EndpointRow]) -> list[tuple[EndpointRow, EndpointStatus]]:
+        """Ask these endpoints at once; return what those say that answer."""
+        told: list[tuple[EndpointRow, EndpointStatus]] = []
 
         async def ask(row: EndpointRow) -> None:
             status = await self.status(row)
             if status is not None:
-                found.append(Candidate(row.name, status.received, row.entry.data_centre))
+                told.append((row, status))
 
         async with trio.open_nursery() as nursery:
-            for row in self._state.endpoints.of_group(group):
-                if row.name != old and row.leaving_since is None:
-                    nursery.start_soon(ask, row)
-        return found
+            for row in rows:
+                nursery.start_soon(ask, row)
+        return told
 
     async def status(self, row: EndpointRow) -> EndpointStatus | None:
         """Return what an endpoint says of itself, or None if it does not answer."""
@@ -112,7 +136,9 @@
 
     async def best(self, group: str, moving: Moving, no_older_than_s: float = 0.0) -> str:
         """Return the endpoint that has received most, the recorded one if it has."""
-        candidates = await self.candidates(group, moving.old.endpoint, no_older_than_s)
+        # A doubted primary is a candidate like the others.
+        old = "" if moving.old.is_doubted else moving.old.endpoint
+        candidates = await self.candidates(group, old, no_older_than_s)
         best = best_candidate(candidates)
         named = next((each for each in candidates if each.name == moving.successor), None)
         if best is None or (named is not None and named.received >= best.received):
@@ -120,12 +146,20 @@
         return best.name
 
     async def leading(self, moving: Moving) -> Leading | None:
-        """Return the successor with its term once it says that it leads."""
+        """Return the successor with its term once it says that it leads.
+
+        Where the old primary was doubted, the successor may have led before, in the term that
+        it tells until the promotion takes effect: it is asked after that.
+        """
         row = self._state.endpoints.rows.get(moving.successor)
+        may_lead_on = moving.successor == moving.old.endpoint
+        least_term = moving.old.term if may_lead_on else moving.old.term + 1
+        if moving.old.is_doubted:
+            await trio.sleep(TAKES_EFFECT_S)
         with trio.move_on_after(LEADS_WITHIN_S):
             while row is not None and not row.gone:
                 status = await self.status(row)
-                if status is not None and status.leads and status.term > moving.old.term:
+                if status is not None and status.leads and status.term >= least_term:
                     return Leading(moving.successor, status.term)
                 await trio.sleep(LEADS_LOOK_S)
         self._state.log.event("successor_does_not_lead", endpoint=moving.successor)
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -22,6 +22,7 @@
 from wharftiller.daemons.sessions.homes.home_links import HomeLinks
 from wharftiller.daemons.sessions.homes.homes import Homes
 from wharftiller.daemons.sessions.leadership.changes import ChangeRunner
+from wharftiller.daemons.sessions.leadership.doubts import DoubtedPrimaries
 from wharftiller.daemons.sessions.leadership.mover import PrimaryMover
 from wharftiller.daemons.sessions.leadership.record_writer import RecordWriter
 from wharftiller.daemons.sessions.leadership.stopping import BoxStopper
@@ -181,7 +182,13 @@
             self._prober,
         )
         self._mover = PrimaryMover(
-            self.state, self._directory, self._homes, writer, successors, changes
+            self.state,
+            self._directory,
+            self._homes,
+            writer,
+            successors,
+            changes,
+            DoubtedPrimaries(self.state, writer, successors),
         )
         self._isolation = IsolationWatch(self.state, self._directory, self.sessions)
         self._feeds = feeds(self.state, self._missed_change_found)
--- a/wharftiller/edges/leadership_json.py
+++ b/wharftiller/edges/leadership_json.py
@@ -19,24 +19,31 @@
         "attempt": record.attempt,
         "updates": record.updates,
         "written_back": record.is_written_back,
+        "era": record.era,
         "groups": {name: _group_to_json(state) for name, state in record.groups.items()},
     }
 
 
 def _group_to_json(state: GroupLeadership) -> dict[str, Any]:
     match state:
-        case Leading(endpoint, term):
-            return {"endpoint": endpoint, "term": term}
+        case Leading():
+            return _leading_to_json(state)
         case Moving(old, successor, planned, ordered):
             return {
-                "endpoint": old.endpoint,
-                "term": old.term,
+                **_leading_to_json(old),
                 "successor": successor,
                 "planned": planned,
                 "ordered": ordered,
             }
 
 
+def _leading_to_json(leading: Leading) -> dict[str, Any]:
+    value: dict[str, Any] = {"endpoint": leading.endpoint, "term": leading.term}
+    if leading.is_doubted:
+        value["doubted"] = True
+    return value
+
+
 def record_from_json(value: Any, revision: int) -> LeadershipRecord:
     """Return the record that ``value`` holds.
 
@@ -55,6 +62,7 @@
             groups,
             int(value.get("updates") or 0),
             value.get("written_back") is True,
+            era=int(value.get("era") or 0),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise BadRequestError(
@@ -63,7 +71,8 @@
 
 
 def _group_from_json(value: Any) -> GroupLeadership:
-    old = Leading(str(value["endpoint"]), int(value["term"]))
+    is_doubted = value.get("doubted") is True
+    old = Leading(str(value["endpoint"]), int(value["term"]), is_doubted)
     if "successor" not in value:
         return old
     return Moving(old, str(value["successor"]), bool(value["planned"]), bool(value["ordered"]))
--- a/wharftiller/platform/objects.py
+++ b/wharftiller/platform/objects.py
@@ -33,6 +33,7 @@
 from wharftiller.daemons.sessions.seams import SharedListing
 from wharftiller.edges.leadership_json import record_from_json, record_to_json
 from wharftiller.edges.transport import split_address
+from wharftiller.platform.store import era_of
 
 if TYPE_CHECKING:
     from wharftiller.core.sessions.bounds import PlatformBounds
@@ -299,7 +300,7 @@
         objects, revision = await self._store.list_all(OWN_KIND)
         boxes: dict[str, Box] = {}
         marks: dict[str, int] = {}
-        record = LeadershipRecord()
+        record = LeadershipRecord(era=era_of(revision))
         for name, stored in objects.items():
             if name == RECORD_NAME:
                 record = self._record(stored)
@@ -327,8 +328,9 @@
             raise PlatformUnavailableError(str(error)) from error
         # Written in an era before this one, it may be older than what was acknowledged then.
         written_in = stored.spec.get(ERA_FIELD)
-        is_confirmed = written_in is None or written_in == self._store.era
-        return attrs.evolve(record, is_confirmed=is_confirmed)
+        era = era_of(stored.revision)
+        is_confirmed = written_in is None or written_in == era
+        return attrs.evolve(record, is_confirmed=is_confirmed, era=era)
 
     async def register(self, box: Box) -> None:
         """Put ``box`` into the list, or its new process in its place."""
--- a/wharftiller/platform/store.py
+++ b/wharftiller/platform/store.py
@@ -177,7 +177,7 @@
         meta: dict[str, Any] = {"Name": name, "Finalizers": []}
         path = f"/v1/objects/{kind}/{name}"
         if revision:
-            if revision // ERA_REVISIONS != self.era:
+            if era_of(revision) != self.era:
                 return await self._read_one(path)
             meta["Revision"] = revision % ERA_REVISIONS
         body = {"meta": meta, "spec": spec, "status": None}
@@ -185,7 +185,7 @@
             answer = await self._call("POST", f"/v1/objects/{kind}", body)
         else:
             answer = await self._call("PUT", path, body)
-        if revision and answer.era != revision // ERA_REVISIONS:
+        if revision and answer.era != era_of(revision):
             raise PlatformUnavailableError(f"the platform was restored while {path} was written")
         if answer.status in (200, 201, 409) and answer.value is not None:
             return parse_object(answer.value, answer.era)
@@ -204,7 +204,7 @@
 
     async def watch(self, client: HttpClient, kind: str, revision: int) -> WatchedChanges | None:
         """Wait for changes after ``revision``; None if the platform has forgotten some."""
-        era = revision // ERA_REVISIONS
+        era = era_of(revision)
         if era != self.era:
             return None
         path = f"/v1/objects/{kind}?Watch={revision % ERA_REVISIONS}&WaitMs={WATCH_WAIT_MS}"
@@ -231,6 +231,11 @@
     return era * ERA_REVISIONS + int(told)
 
 
+def era_of(revision: int) -> int:
+    """Return the era in which ``revision`` was read."""
+    return revision // ERA_REVISIONS
+
+
 def _parse_page(answer: _Answer) -> tuple[list[StoredObject], int, bool]:
     """Return a page's objects, the revision they stand at and whether more pages follow."""
     if answer.status == 404:
--- a/wharftiller/tests/core/leadership/histories.py
+++ b/wharftiller/tests/core/leadership/histories.py
@@ -16,9 +16,11 @@
 
 import attrs
 
+from wharftiller.core.leadership.doubts import DoubtEvidence, whom_to_promote
 from wharftiller.core.leadership.lease import LEASE_S, LISTING_S, RoundAnswer, holds_no_lease
 from wharftiller.core.leadership.moves import TAKE_OVER_S
 from wharftiller.core.leadership.record import LeadershipRecord, Leading, Moving
+from wharftiller.tests.core.leadership.model_endpoints import ModelEndpoints
 from wharftiller.tests.core.leadership.weak_table import Rules, WeakTable
 
 GROUP = "seats"
@@ -32,6 +34,9 @@
 ERA_REVISIONS = 10**6
 """Revisions of one era; those of the next come after them, whatever the platform counts."""
 
+DOUBTS_S = 0.5
+"""Time between a box's looks at primaries that are doubted, in seconds."""
+
 
 @attrs.define(eq=False)
 class ModelBox:
@@ -45,6 +50,7 @@
     dead: bool = False
     moving: bool = False
     away_until: float = 0.0
+    doubts_since: float | None = None
     marks: dict[str, tuple[int, float]] = attrs.field(factory=dict)
     answered_at: dict[str, float] = attrs.field(factory=dict)
 
@@ -74,6 +80,8 @@
         self._restores = restores
         self._era = 0
         self._random = random.Random(seed)
+        self._doubt_dice = random.Random(f"doubts of {seed}")
+        self._endpoints = ModelEndpoints(seed)
         self._rules = rules
         self._events: list[_Event] = []
         self._numbers = itertools.count()
@@ -122,6 +130,8 @@
         self.boxes.append(box)
         self._at(0.0, lambda: self._read(box))
         self._at(0.3, lambda: self._round(box))
+        if self._restores and self._rules.copies_are_doubted:
+            self._at(self._doubt_dice.uniform(0.0, DOUBTS_S), lambda: self._doubts(box))
 
     def _later(self, box: ModelBox, run: Callable[[], None]) -> None:
         """Run now, or when the box thaws; never once it is dead."""
@@ -150,7 +160,8 @@
         if first:
             self.listed[box.name] = box
             self.marks.pop(box.name, None)
-        record, listed, marks = self.record, dict(self.listed), dict(self.marks)
+        record = attrs.evolve(self.record, era=self._era)
+        listed, marks = dict(self.listed), dict(self.marks)
         delay = self._random.uniform(0, CALL_S)
 
         def answered() -> None:
@@ -274,9 +285,55 @@
         if written is None or self.record.revision != written.revision:
             return
         self.revision += 1
-        self.record = attrs.evolve(written, revision=self.revision, is_confirmed=True)
+        self.record = attrs.evolve(
+            written, revision=self.revision, is_confirmed=True, era=self._era
+        )
         box.table.adopt(self.record)
 
+    # Doubted primaries ----------------------------------------------------
+
+    def _doubts(self, box: ModelBox) -> None:
+        self._later(box, lambda: self._doubts_now(box))
+
+    def _doubts_now(self, box: ModelBox) -> None:
+        self._at(DOUBTS_S, lambda: self._doubts(box))
+        believed = box.table.record
+        if GROUP not in believed.doubted:
+            box.doubts_since = None
+            return
+        if box.doubts_since is None:
+            box.doubts_since = self.now
+        if believed.revision != self.record.revision or not self._reaches_platform(box):
+            return
+        if GROUP in box.table.surely_led(self.now):
+            sure = attrs.evolve(believed.doubted[GROUP], is_doubted=False)
+            box.table.adopt(self._replace_record(believed.with_group(GROUP, sure)))
+            return
+        evidence = DoubtEvidence(
+            self._endpoints.words(self.now),
+            self._endpoints.silent(self.now),
+            frozenset(),
+            self.now - box.doubts_since,
+            box.table.is_settled(self.now),
+        )
+        successor = whom_to_promote(believed.doubted[GROUP], evidence)
+        if successor is not None and not box.moving:
+            moving = Moving(believed.doubted[GROUP], successor, planned=False)
+            self._take_record(box, believed, moving, self._doubt_dice)
+
+    def _replace_record(self, record: LeadershipRecord) -> LeadershipRecord:
+        self.revision += 1
+        self._written_at = self.now
+        self.record = attrs.evolve(
+            record,
+            revision=self.revision,
+            updates=record.updates + 1,
+            is_confirmed=True,
+            is_written_back=False,
+            era=self._era,
+        )
+        return self.record
+
     # A change of primary ------------------------------------------------
 
     def _win(self, box: ModelBox) -> None:
@@ -295,23 +352,18 @@
                 moving = state
             case _:
                 return
-        self.revision += 1
-        self._written_at = self.now
-        self.record = attrs.evolve(
-            believed,
-            revision=self.revision,
-            fence=believed.fence + 1,
-            holder=box.name,
-            updates=believed.updates + 1,
-            is_confirmed=True,
-            is_written_back=False,
-        ).with_group(GROUP, moving)
-        won = self.record
+        self._take_record(box, believed, moving, self._random)
+
+    def _take_record(
+        self, box: ModelBox, believed: LeadershipRecord, moving: Moving, dice: random.Random
+    ) -> None:
+        held = attrs.evolve(believed, fence=believed.fence + 1, holder=box.name)
+        won = self._replace_record(held.with_group(GROUP, moving))
         box.moving = True
         # What was read before the win may still be on its way to other boxes.
         listed = dict(self.listed) if self._rules.list_read_after_win else None
         marks = dict(self.marks)
-        delay = self._random.uniform(0, CALL_S)
+        delay = dice.uniform(0, CALL_S)
         self._at(delay, lambda: self._later(box, lambda: self._won(box, won, listed, marks)))
 
     def _won(
@@ -371,6 +423,7 @@
         if self.record.revision != won.revision:
             return
         self.primary = won.moving[GROUP].successor
+        self._endpoints.promote(self.primary, self.now)
         self.promotions += 1
         self._at(0.3, lambda: self._later(box, lambda: self._lead(box, won)))
 
@@ -382,7 +435,7 @@
             return
         self.revision += 1
         leading = Leading(won.moving[GROUP].successor, self.revision)
-        led = attrs.evolve(won, revision=self.revision, updates=won.updates + 1)
+        led = attrs.evolve(won, revision=self.revision, updates=won.updates + 1, era=self._era)
         self.record = led.with_group(GROUP, leading)
         box.table.adopt(self.record)
         box.moving = False
--- /dev/null
+++ b/wharftiller/tests/core/leadership/model_endpoints.py
@@ -0,0 +1,78 @@
+"""The endpoints of a history: who leads which term by its own word, and who answers.
+
+Their dice are their own, so that a history's other troubles come as they do without them.
+"""
+
+from __future__ import annotations
+
+import random
+
+import attrs
+
+from wharftiller.core.leadership.doubts import EndpointWord
+from wharftiller.core.positions import LogPosition
+
+KNOWS_LATE_S = 15.0
+"""Longest time for which a replaced primary goes on believing that it leads, in seconds."""
+
+DARK_S = 25.0
+"""Longest time for which an endpoint answers nobody, in seconds."""
+
+DARK_PART = 0.4
+"""Part of the promotions after which the new primary falls silent within a second."""
+
+UNLISTED_PART = 0.3
+"""Part of the silent ones that are not registered meanwhile either."""
+
+
+@attrs.define
+class ModelEndpoint:
+    """One endpoint."""
+
+    name: str
+    term: int
+    believes_until: float = float("inf")
+    dark_from: float = float("inf")
+    dark_until: float = float("inf")
+    is_unlisted: bool = False
+
+    def is_dark(self, now: float) -> bool:
+        """Return whether it answers nobody."""
+        return self.dark_from <= now < self.dark_until
+
+
+class ModelEndpoints:
+    """All endpoints that ever led; the last one promoted is the primary."""
+
+    def __init__(self, seed: int) -> None:
+        self._random = random.Random(f"endpoints of {seed}")
+        self._all = {"p0": ModelEndpoint("p0", 1)}
+        self._primary = self._all["p0"]
+
+    def promote(self, name: str, now: float) -> None:
+        """Have an endpoint lead the next term; nothing changes if it leads already."""
+        if name == self._primary.name:
+            return
+        dice = self._random
+        self._primary.believes_until = now + dice.uniform(0.0, KNOWS_LATE_S)
+        promoted = ModelEndpoint(name, self._primary.term + 1)
+        if dice.random() < DARK_PART:
+            promoted.dark_from = now + dice.random()
+            promoted.dark_until = promoted.dark_from + dice.uniform(0.0, DARK_S)
+            promoted.is_unlisted = dice.random() < UNLISTED_PART
+        self._all[name] = self._primary = promoted
+
+    def words(self, now: float) -> tuple[EndpointWord, ...]:
+        """Return what those say of themselves that answer now."""
+        return tuple(self._word(each, now) for each in self._all.values() if not each.is_dark(now))
+
+    def silent(self, now: float) -> frozenset[str]:
+        """Return those that are registered and do not answer now."""
+        return frozenset(
+            each.name for each in self._all.values() if each.is_dark(now) and not each.is_unlisted
+        )
+
+    def _word(self, endpoint: ModelEndpoint, now: float) -> EndpointWord:
+        leads = endpoint is self._primary or now < endpoint.believes_until
+        term = endpoint.term if leads else self._primary.term
+        return EndpointWord(endpoint.name, leads, term, LogPosition(endpoint.term, 0))
--- /dev/null
+++ b/wharftiller/tests/core/leadership/test_doubts.py
@@ -0,0 +1,75 @@
+"""Who is promoted where nobody is left who knows whether a primary was replaced."""
+
+from __future__ import annotations
+
+import attrs
+import pytest
+
+from wharftiller.core.leadership.doubts import (
+    ORDERS_EFFECT_S,
+    DoubtEvidence,
+    EndpointWord,
+    whom_to_promote,
+)
+from wharftiller.core.leadership.record import Leading
+from wharftiller.core.positions import LogPosition
+
+RECORDED = Leading("one", 1, is_doubted=True)
+
+
+def word(name: str, term: int, index: int, *, leads: bool = False) -> EndpointWord:
+    return EndpointWord(name, leads, term, LogPosition(term, index))
+
+
+STILL_LED = (word("one", 1, 9, leads=True), word("two", 1, 8), word("three", 1, 9))
+REPLACED = (word("one", 1, 12, leads=True), word("two", 2, 9, leads=True), word("three", 2, 9))
+
+
+def evidence(words: tuple[EndpointWord, ...], *silent: str, **changes: object) -> DoubtEvidence:
+    known = DoubtEvidence(words, frozenset(silent), frozenset(), ORDERS_EFFECT_S, is_settled=False)
+    return attrs.evolve(known, **changes)  # type: ignore[arg-type]
+
+
+class TestAllAnswer:
+    def test_the_recorded_primary_leads_on_by_its_word(self) -> None:
+        assert whom_to_promote(RECORDED, evidence(STILL_LED)) == "one"
+
+    def test_a_newer_term_refutes_the_record(self) -> None:
+        """Whatever the old primary committed meanwhile: its log is longer here."""
+        assert whom_to_promote(RECORDED, evidence(REPLACED)) == "two"
+
+    def test_orders_from_before_may_still_take_effect(self) -> None:
+        early = evidence(STILL_LED, doubted_s=ORDERS_EFFECT_S - 0.1)
+        assert whom_to_promote(RECORDED, early) is None
+
+    def test_nobody_leads_the_newest_term(self) -> None:
+        words = (word("one", 1, 12, leads=True), word("three", 2, 9))
+        assert whom_to_promote(RECORDED, evidence(words)) is None
+        assert whom_to_promote(RECORDED, evidence(words, is_settled=True)) == "three"
+
+
+class TestSomeAreSilent:
+    @pytest.mark.parametrize(
+        "unseen",
+        [{"silent": frozenset({"two"})}, {"vanished": frozenset({"two"})}],
+        ids=["registered", "gone"],
+    )
+    def test_one_that_cannot_be_asked_may_be_in_use(self, unseen: dict[str, object]) -> None:
+        words = (word("one", 1, 12, leads=True), word("three", 1, 9))
+        assert whom_to_promote(RECORDED, evidence(words, **unseen)) is None
+        assert whom_to_promote(RECORDED, evidence(words, **unseen, is_settled=True)) == "one"
+
+    def test_what_a_replica_knows_refutes_the_record_too(self) -> None:
+        words = (word("one", 1, 12, leads=True), word("three", 2, 9))
+        assert whom_to_promote(RECORDED, evidence(words, "two", is_settled=True)) == "three"
+
+    def test_no_acknowledged_write_is_left_behind(self) -> None:
+        """Each is on two of three endpoints: one may be silent, not two."""
+        two = evidence(STILL_LED[:2], "three", is_settled=True, sync_replicas=1)
+        one = evidence(STILL_LED[:1], "two", "three", is_settled=True, sync_replicas=1)
+        assert whom_to_promote(RECORDED, two) == "one"
+        assert whom_to_promote(RECORDED, one) is None
+
+    def test_nothing_is_decided_while_nobody_answers(self) -> None:
+        nobody = evidence((), "one", "two", "three", is_settled=True)
+        assert whom_to_promote(RECORDED, nobody) is None
--- a/wharftiller/tests/core/leadership/test_lease.py
+++ b/wharftiller/tests/core/leadership/test_lease.py
@@ -16,7 +16,7 @@
     RoundAnswer,
     holds_no_lease,
 )
-from wharftiller.core.leadership.record import LeadershipRecord, Leading, Moving
+from wharftiller.core.leadership.record import LOST_MOST, LeadershipRecord, Leading, Moving
 from wharftiller.tests.core.leadership import histories
 from wharftiller.tests.core.leadership.histories import play
 from wharftiller.tests.core.leadership.weak_table import Rules
@@ -192,14 +192,26 @@
     def test_no_old_primary_is_used_where_all_who_knew_ended(self, seed: int) -> None:
         assert play([seed], Rules(), restores=True)[1] == []
 
+    @pytest.mark.parametrize("seed", [651, 1345])
+    def test_nor_where_boxes_also_ended_for_good(self, seed: int) -> None:
+        assert play([seed], Rules(), deaths=True, restores=True)[1] == []
+        undoubted = Rules(copies_are_doubted=False)
+        assert play([seed], undoubted, deaths=True, restores=True)[1] == [seed]
+
     @pytest.mark.parametrize(
         ("rules", "seed"),
         [
             (Rules(updates_count=False), 2),
+            (Rules(copies_are_doubted=False), 651),
             (Rules(confirmed_first=False), 590),
             (Rules(settled_first=False), 413),
         ],
-        ids=["updates do not count", "reads count before it is confirmed", "lists count at once"],
+        ids=[
+            "updates do not count",
+            "copies are not doubted",
+            "reads count before it is confirmed",
+            "lists count at once",
+        ],
     )
     def test_without_one_rule_a_box_uses_an_old_primary(self, rules: Rules, seed: int) -> None:
         assert play([seed], rules, restores=True)[1] == [seed]
@@ -217,6 +229,44 @@
         lost = attrs.evolve(record(8, Leading("two")), updates=50)
         assert not table.adopt(lost)
 
+    def test_what_came_back_extends_leases_and_begins_none(self, table: LeaseTable) -> None:
+        """Who held one all the while knows that nobody took over; others know nothing."""
+        stood = attrs.evolve(record(9, Leading("one")), is_confirmed=False)
+        fresh = LeaseTable()
+        for each in (table, fresh):
+            each.listed(["box-2", "box-3"], 1.0)
+            each.read(stood, 1.0)
+            assert each.round_ended([answer("box-2"), answer("box-3")], 2.0)
+        assert table.may_acknowledge(GROUP, "one", 2.0 + LEASE_S - 0.01)
+        assert fresh.lease(GROUP, 2.1) is None
+
+    def test_a_doubt_lasts_until_it_is_cleared(self, table: LeaseTable) -> None:
+        fresh = LeaseTable()
+        fresh.read(attrs.evolve(record(9, Leading("one")), is_confirmed=False), 1.0)
+        written = fresh.to_write_back(1.1 + UNSETTLED_S)
+        assert written is not None
+        assert written.doubted == {GROUP: Leading("one", is_doubted=True)}
+        at = 2.0 + UNSETTLED_S
+        fresh.read(attrs.evolve(written, revision=10), at)
+        assert fresh.lease(GROUP, at) is None
+        cleared = written.with_group(GROUP, Leading("one"))
+        fresh.read(attrs.evolve(cleared, revision=11, updates=cleared.updates + 1), at + 1)
+        assert fresh.may_acknowledge(GROUP, "one", at + 1)
+
+    def test_a_change_that_came_back_leaves_its_old_primary_in_doubt(self) -> None:
+        """It may have ended, and another begun, in the seconds that were lost."""
+        moving = Moving(Leading("one", 4), "two", planned=False, ordered=True)
+        written = record(9, moving).confirmed_at(9, ())
+        assert written.doubted == {GROUP: Leading("one", 4, is_doubted=True)}
+        assert written.moving == {}
+
+    def test_no_number_of_an_earlier_restoration_is_given_out_again(self) -> None:
+        stood = attrs.evolve(record(2_000, Leading("one")), updates=7)
+        first = stood.confirmed_at(1_000_000, ())
+        again = stood.confirmed_at(2_000_000, ())
+        assert again.fence - first.fence > LOST_MOST
+        assert again.updates - first.updates > LOST_MOST
+
     def test_a_silent_box_delays_the_confirmation(self, table: LeaseTable) -> None:
         table.read(attrs.evolve(record(9, Leading("one")), is_confirmed=False), 1.0)
         assert not table.round_ended([answer("box-2")], 2.0)
--- a/wharftiller/tests/core/leadership/weak_table.py
+++ b/wharftiller/tests/core/leadership/weak_table.py
@@ -7,7 +7,7 @@
 import attrs
 
 from wharftiller.core.leadership.lease import LISTING_S, LeaseTable, RoundAnswer
-from wharftiller.core.leadership.record import LeadershipRecord
+from wharftiller.core.leadership.record import LeadershipRecord, Leading
 
 
 @attrs.frozen
@@ -26,6 +26,7 @@
     updates_count: bool = True
     confirmed_first: bool = True
     settled_first: bool = True
+    copies_are_doubted: bool = True
 
 
 class WeakTable(LeaseTable):
@@ -48,6 +49,17 @@
             record = attrs.evolve(record, is_confirmed=True)
         super().read(record, asked_at)
 
+    def to_write_back(self, now: float) -> LeadershipRecord | None:
+        """Return what to write back; without the rule as the copy has it, nothing doubted."""
+        written = super().to_write_back(now)
+        if written is None or self.rules.copies_are_doubted:
+            return written
+        return attrs.evolve(written, groups=self.record.groups)
+
+    def _only_extends(self, state: Leading) -> bool:
+        """Return whether checks begin no lease; without the rule all of them may."""
+        return self.rules.copies_are_doubted and super()._only_extends(state)
+
     def round_ended(self, answers: Iterable[RoundAnswer], asked_at: float) -> bool:
         """Renew by a round, under weaker rules where some are taken out."""
         answers = list(answers)
--- a/wharftiller/tests/platform/test_restored_platform.py
+++ b/wharftiller/tests/platform/test_restored_platform.py
@@ -5,11 +5,15 @@
 import pytest
 import trio
 
+from standins.line_endpoints import LineServer
 from standins.object_store import Mood
 from wharftiller.core.errors import PlatformUnavailableError
+from wharftiller.daemons.sessions.membership import readers
 from wharftiller.platform.store import ERA_REVISIONS, ObjectStore
 from wharftiller.tests.platform.world import (
+    SETTLED_S,
     STORE,
+    BoxProcess,
     World,
     fences_rise,
     run_in_world,
@@ -18,6 +22,7 @@
 
 AWAY_S = 1.0
 LOST_S = 4.0
+AT_ONCE_S = 0.1
 
 
 async def lose_some_seconds(world: World) -> None:
@@ -34,6 +39,34 @@
     world.store.mood = Mood.WELL
 
 
+async def replace_cut_off_primary(world: World) -> None:
+    """Have the boxes replace a primary that they do not reach, and write to the new one."""
+    old = world.groups[0].primary
+    boxes = [box.ip for box in world.boxes.values()]
+    world.network.cut([old.address.partition(":")[0]], boxes)
+    caller = await world.call(world.boxes["box-2"], "primary")
+    await write_until_done(caller, "WRITE seat1 anna", 12.0)
+    world.network.heal()
+
+
+async def restart_all_boxes(world: World, taken: object) -> None:
+    """End all boxes, have the platform come back from a copy, start as many boxes anew."""
+    count = len(world.boxes)
+    for box in list(world.boxes.values()):
+        await world.kill_box(box)
+    await restore(world, taken)
+    for number in range(1, count + 1):
+        await world.start_box(number, "abc"[(number - 1) % 3])
+    await trio.sleep(SETTLED_S)
+
+
+def holds_lease(box: BoxProcess, server: LineServer) -> bool:
+    """Return whether a box holds a lease on ``server`` as the primary of its group."""
+    assert box.process.proxy is not None
+    lease = box.process.proxy.state.leases.lease(server.group.name, trio.current_time())
+    return lease is not None and lease.endpoint == server.name
+
+
 def versions(world: World) -> set[int]:
     proxies = [box.process.proxy for box in world.boxes.values()]
     return {proxy.state.version for proxy in proxies if proxy is not None}
@@ -91,6 +124,88 @@
 
         run_in_world(story)
 
+    def test_one_replaced_in_the_lost_seconds_is_not_used_where_all_boxes_ended(self) -> None:
+        """The old primary is alive and reachable again, and believes that it leads."""
+
+        async def story(world: World) -> None:
+            group = world.groups[0]
+            taken = world.store.copy()
+            old = group.primary
+            await replace_cut_off_primary(world)
+            await restart_all_boxes(world, taken)
+            assert old.leads
+            ran_there = len(old.started)
+            caller = await world.call(world.boxes["box-2"], "primary")
+            await write_until_done(caller, "WRITE seat2 bert", 20.0)
+            assert (await caller.ask("READ seat1"))[0].startswith("ROW anna")
+            assert group.primary is not old
+            assert old.started[ran_there:] == []
+            assert fences_rise(world)
+            assert len({(holder, fence) for _, holder, fence in group.promotions}) == 2
+
+        run_in_world(story)
+
+    def test_the_new_primary_out_of_sight_is_replaced_before_the_old_one_is_used(self) -> None:
+        """Only the promotion shows the platform, and every endpoint, who leads from then on."""
+
+        async def story(world: World) -> None:
+            group = world.groups[0]
+            taken = world.store.copy()
+            await replace_cut_off_primary(world)
+            new = group.primary
+            world.kill_server(new)
+            await restart_all_boxes(world, taken)
+            world.kill_server(new)
+            ordered = len(group.promotions)
+            caller = await world.call(world.boxes["box-2"], "primary")
+            await write_until_done(caller, "WRITE seat2 bert", 30.0)
+            assert len(group.promotions) > ordered
+            assert group.primary.value("seat2") == "bert"
+            assert group.primary.term > new.term
+
+        run_in_world(story)
+
+    def test_callers_are_told_at_once_when_a_doubted_primary_may_be_used(self) -> None:
+        async def story(world: World) -> None:
+            taken = world.store.copy()
+            await replace_cut_off_primary(world)
+            await restart_all_boxes(world, taken)
+            caller = await world.call(world.boxes["box-2"], "primary")
+            asked_at = trio.current_time()
+            refusal = (await caller.ask("WRITE seat2 bert"))[0]
+            assert trio.current_time() - asked_at < AT_ONCE_S
+            assert refusal.startswith("ERROR BUSY")
+
+        run_in_world(story)
+
+    def test_no_primary_is_doubted_where_a_box_holds_a_lease(self) -> None:
+        async def story(world: World) -> None:
+            await lose_some_seconds(world)
+            await trio.sleep(3.0)
+            written = [e for box in world.boxes.values() for e in box.events("record_written_back")]
+            assert written
+            assert all(event["doubted"] == [] for event in written)
+            assert not world.groups[0].promotions
+
+        run_in_world(story)
+
+    def test_no_box_behind_a_reader_takes_a_lease_on_one_that_was_replaced(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Of nine boxes, counted as many here, three read the platform for the others."""
+        monkeypatch.setattr(readers, "MANY_BOXES", 4)
+
+        async def story(world: World) -> None:
+            old = world.groups[0].primary
+            taken = world.store.copy()
+            await replace_cut_off_primary(world)
+            await restart_all_boxes(world, taken)
+            for _ in range(100):
+                assert [box.name for box in world.boxes.values() if holds_lease(box, old)] == []
+                await trio.sleep(0.1)
+
+        run_in_world(story, boxes=9)
+
     def test_no_fence_is_given_out_twice(self) -> None:
         """A change of primary in the lost seconds, and one after them."""
 
