Wait for the list of boxes after each restoration that anybody saw

What callers saw: writes acknowledged by a primary that had been replaced, where a box was parted from the platform, or frozen, just as it came back from a copy.

Cause: a change of primary asks every box of the platform's list. A list that came back lacks boxes which registered since the copy, so it counts after 12 s only; but the wait began only on a box that read the unconfirmed record itself. Three ways past it, each a trace of the model: another box wrote the record back first (2525), the platform came back a second time while the first wait ran (2647), the record came from another box before an own read (3142). The winner then did not ask a box that still held its lease.

Mend: the platform tells its era in every answer. The record carries it; a read of a higher era than the last one begins the wait, and a record of a higher era than any read of this box leaves it unsettled. The read is taken in before the list, so that the list that shows the restoration does not already replace the one from before.

590 (reads count before the record is confirmed) no longer loses by that rule alone, since eras hold it too: 337 does and stands in its place; 590 stays with both rules out. Every such case now also plays with all rules, as strict as its kin.

--- a/wharftiller/core/leadership/lease.py
+++ b/wharftiller/core/leadership/lease.py
@@ -137,6 +137,7 @@
     _leases: dict[str, GroupLease] = attrs.field(factory=dict)
     _unsettled: LeadershipRecord | None = None
     _unsettled_since: float = -math.inf
+    _era: int = 0
     _round_counted_at: float = -math.inf
 
     def lease(self, group: str, now: float) -> GroupLease | None:
@@ -191,9 +192,9 @@
     def read(self, record: LeadershipRecord, asked_at: float) -> None:
         """Take in a record read from the platform, asked for at ``asked_at`` (seconds)."""
         self.adopt(record)
-        if not self.read_from_platform and record.is_written_back:
-            # The platform may have come back a moment ago, before this box was there to see it.
+        if self._shows_restoration(record):
             self._unsettled_since = asked_at
+        self._era = max(self._era, record.era)
         self.read_from_platform = True
         if not record.is_confirmed or record.went_back_behind(self.record):
             self._note_unsettled(record, asked_at)
@@ -201,6 +202,17 @@
             self._unsettled = None
             self._renew(asked_at)
 
+    def _shows_restoration(self, record: LeadershipRecord) -> bool:
+        """Return whether the platform came back from a copy since this box last read it.
+
+        It tells the era in every answer: also where another box wrote the record back before
+        this one saw what came back, and where it comes back again before anybody did. A box that
+        has just started cannot compare; a record that was written back tells it.
+        """
+        if not self.read_from_platform:
+            return record.is_written_back
+        return record.era > self._era
+
     def _note_unsettled(self, record: LeadershipRecord, asked_at: float) -> None:
         if self._unsettled is None:
             self._unsettled_since = asked_at
@@ -241,9 +253,12 @@
 
         One that it came back with may lack boxes that registered since the copy. Their leases
         end, or they register anew and are listed, before it counts; no primary is replaced and
-        no box is forgotten until then.
+        no box is forgotten until then. Nor does a list that this box read before a restoration
+        which another box told it of.
         """
-        return self._unsettled is None and now - self._unsettled_since > UNSETTLED_S
+        if self._unsettled is not None or self.record.era > self._era:
+            return False
+        return now - self._unsettled_since > UNSETTLED_S
 
     def listed(self, boxes: Iterable[str], asked_at: float) -> None:
         """Take in the platform's list of the other boxes."""
--- a/wharftiller/daemons/sessions/membership/listings.py
+++ b/wharftiller/daemons/sessions/membership/listings.py
@@ -46,11 +46,12 @@
             self._directory.listed_since = None
             return False
         leases = self._state.leases
-        leases.listed(others, asked_at)
         if self._directory.listed_since is None:
             self._directory.listed_since = asked_at
         before = leases.record.revision
+        # First, as it may show that the list came back from a copy and lacks boxes.
         leases.read(listing.record, asked_at)
+        leases.listed(others, asked_at)
         if leases.record.revision != before:
             self._state.log.change(
                 "record_adopted", revision=leases.record.revision, source="platform"
--- a/wharftiller/tests/core/leadership/histories.py
+++ b/wharftiller/tests/core/leadership/histories.py
@@ -193,8 +193,8 @@
         if box.listed_since is None:
             box.listed_since = asked_at
         counted_at = asked_at if self._rules.asked_time_counts else self.now
-        box.table.listed([name for name in listed if name != box.name], counted_at)
         box.table.read(record, counted_at)
+        box.table.listed([name for name in listed if name != box.name], counted_at)
         if self._reaches_platform(box):
             self._write_back(box)
 
--- a/wharftiller/tests/core/leadership/test_lease.py
+++ b/wharftiller/tests/core/leadership/test_lease.py
@@ -203,18 +203,48 @@
         [
             (Rules(updates_count=False), 2),
             (Rules(copies_are_doubted=False), 651),
-            (Rules(confirmed_first=False), 590),
+            (Rules(confirmed_first=False), 337),
+            (Rules(confirmed_first=False, eras_count=False), 590),
+            (Rules(eras_count=False), 2525),
+            (Rules(eras_count=False), 2647),
+            (Rules(eras_count=False), 3142),
             (Rules(settled_first=False), 413),
         ],
         ids=[
             "updates do not count",
             "copies are not doubted",
             "reads count before it is confirmed",
+            "neither read nor era tells of the restoration",
+            "lists count where another wrote it back",
+            "lists count where it is restored again",
+            "lists count where another told of it",
             "lists count at once",
         ],
     )
     def test_without_one_rule_a_box_uses_an_old_primary(self, rules: Rules, seed: int) -> None:
         assert play([seed], rules, restores=True)[1] == [seed]
+        assert play([seed], Rules(), restores=True)[1] == []
+
+    def test_a_list_counts_late_where_another_box_wrote_the_record_back(
+        self, table: LeaseTable
+    ) -> None:
+        """This box never read what came back; what it is told of next is confirmed already."""
+        written = attrs.evolve(record(9, Leading("one")), updates=20, is_written_back=True, era=2)
+        assert table.is_settled(0.5)
+        table.adopt(written)
+        assert not table.is_settled(0.5)
+        table.read(written, 1.0)
+        table.listed(["box-2"], 1.0)
+        assert table.boxes == {"box-2", "box-3"}
+        assert not table.is_settled(1.0 + UNSETTLED_S)
+        assert table.is_settled(1.1 + UNSETTLED_S)
+
+    def test_a_further_restoration_begins_the_wait_anew(self, table: LeaseTable) -> None:
+        stood = attrs.evolve(record(9, Leading("one")), is_confirmed=False, era=1)
+        table.read(stood, 1.0)
+        table.read(attrs.evolve(stood, revision=19, era=2), 10.0)
+        assert table.to_write_back(1.1 + UNSETTLED_S) is None
+        assert not table.is_settled(1.1 + UNSETTLED_S)
 
     def test_what_was_lost_never_comes_back_over_what_was_confirmed(
         self, table: LeaseTable
--- a/wharftiller/tests/core/leadership/weak_table.py
+++ b/wharftiller/tests/core/leadership/weak_table.py
@@ -27,6 +27,7 @@
     confirmed_first: bool = True
     settled_first: bool = True
     copies_are_doubted: bool = True
+    eras_count: bool = True
 
 
 class WeakTable(LeaseTable):
@@ -38,6 +39,8 @@
         """Take in a record; without the rule also one that lacks updates."""
         if not self.rules.updates_count:
             record = attrs.evolve(record, updates=max(record.updates, self.record.updates))
+        if not self.rules.eras_count:
+            record = attrs.evolve(record, era=0)
         return super().adopt(record)
 
     def read(self, record: LeadershipRecord, asked_at: float) -> None:
@@ -47,6 +50,8 @@
             record = attrs.evolve(record, updates=updates)
         if not self.rules.confirmed_first:
             record = attrs.evolve(record, is_confirmed=True)
+        if not self.rules.eras_count:
+            record = attrs.evolve(record, era=0)
         super().read(record, asked_at)
 
     def to_write_back(self, now: float) -> LeadershipRecord | None:
