Tell boxes behind a reader that a record came back with a copy

What callers could see: in a deployment of 17 boxes or more, a box that reads through another took the record of a copy for a confirmed one, and a lease on a primary that was replaced.

Cause: whether a record is confirmed, and its era, were not part of what a reader tells; absent, it counted as confirmed. Mend: the reader tells both. A reader of the version before tells neither and counts as it did. Test: two in test_reader_desk.py, seen failing with the change taken out.

--- a/wharftiller/daemons/sessions/membership/readers.py
+++ b/wharftiller/daemons/sessions/membership/readers.py
@@ -132,6 +132,8 @@
             "age_ms": int((now - self._last.asked_at) * 1000) + 1,
             "listed": listed is not None and listed.incarnation == incarnation,
             "revision": listing.record.revision,
+            "era": listing.record.era,
+            "confirmed": listing.record.is_confirmed,
             "record": None,
             "list_revision": self._last.list_revision,
             "boxes": None,
@@ -269,6 +271,12 @@
                 record = record_from_json(value["record"], value["revision"])
             elif record.revision > value["revision"]:
                 record = attrs.evolve(record, revision=value["revision"])
+            # As the reader read it: what came back from a copy renews no lease here either.
+            record = attrs.evolve(
+                record,
+                era=int(value.get("era") or 0),
+                is_confirmed=value.get("confirmed") is not False,
+            )
             if value["boxes"] is not None:
                 boxes = {} if value["whole"] else dict(self._boxes)
                 for name in value["gone"]:
--- a/wharftiller/tests/daemons/sessions/test_reader_desk.py
+++ b/wharftiller/tests/daemons/sessions/test_reader_desk.py
@@ -8,14 +8,18 @@
 import pytest
 import trio
 
+from wharftiller.core.leadership.record import LeadershipRecord
 from wharftiller.daemons.sessions.membership.box import Box
-from wharftiller.daemons.sessions.membership.readers import LISTS_KEPT, ReaderDesk
+from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
+from wharftiller.daemons.sessions.membership.readers import LISTS_KEPT, ReaderClient, ReaderDesk
 from wharftiller.daemons.sessions.seams import SharedListing
 from wharftiller.daemons.sessions.state import SharedState
 from wharftiller.decisions import DecisionLog
 
 BOXES = 195
 
+QUESTION = {"box": "box-1", "incarnation": "1", "revision": 9, "list_revision": 0}
+
 BYTES_OF_A_CHANGE = 1_000
 """Bytes of an answer after one box of 195 started: 23,417 with the whole list, 275 since."""
 
@@ -30,8 +34,7 @@
 
 
 def told_to(desk: ReaderDesk, list_revision: int) -> dict[str, Any]:
-    question = {"box": "box-1", "incarnation": "1", "revision": 9, "list_revision": list_revision}
-    return desk.answer(question)
+    return desk.answer({**QUESTION, "list_revision": list_revision})
 
 
 @pytest.fixture
@@ -44,6 +47,40 @@
     desk.note(SharedListing(desk._state.leases.record, boxes, revision), trio.current_time())
 
 
+class TestRecord:
+    """A record that came back with a copy must renew no lease of those who hear of it."""
+
+    def test_a_record_of_a_copy_is_told_as_one(self, desk: ReaderDesk) -> None:
+        of_a_copy = LeadershipRecord(9, updates=3, is_confirmed=False, era=2)
+        assert trio.run(self._taken, desk, of_a_copy, LeadershipRecord()) == of_a_copy
+
+    def test_a_record_that_the_asking_box_knows_is_told_as_one(self, desk: ReaderDesk) -> None:
+        of_a_copy = LeadershipRecord(9, updates=3, is_confirmed=False, era=2)
+        known = LeadershipRecord(9, updates=3, era=1)
+        assert trio.run(self._taken, desk, of_a_copy, known) == of_a_copy
+
+    async def _taken(
+        self, desk: ReaderDesk, read: LeadershipRecord, known: LeadershipRecord
+    ) -> LeadershipRecord:
+        """Return what a box that knows ``known`` takes from a reader that read ``read``."""
+        desk.note(SharedListing(read, all_boxes(), read.revision), trio.current_time())
+        question = {**QUESTION, "revision": known.revision}
+        taken: list[SharedListing] = []
+
+        def take(listing: SharedListing, asked_at: float) -> bool:
+            taken.append(listing)
+            return True
+
+        state = SharedState("box-1", "hall-a", None, DecisionLog("proxy", "box-1"), None)  # type: ignore[arg-type]
+        state.leases.adopt(known)
+        client = ReaderClient(state, BoxDirectory(state, None, box(1)), box(1), take)  # type: ignore[arg-type]
+        client._take_answer(box(0), desk.answer(question), trio.current_time())
+        record = taken[0].record
+        assert record.is_confirmed is read.is_confirmed
+        assert record.era == read.era
+        return record
+
+
 class TestLists:
     async def _changed(self, desk: ReaderDesk) -> dict[str, Any]:
         note(desk, 1, all_boxes())
