--- a/wharftiller/tests/core/leadership/test_lease.py
+++ b/wharftiller/tests/core/leadership/test_lease.py
@@ -228,7 +228,7 @@
     def test_a_list_counts_late_where_another_box_wrote_the_record_back(
         self, table: LeaseTable
     ) -> None:
-        """This box never read what came back; what it is told of next is confirmed already."""
+        """The box never read what came back; what it is told of next is confirmed already."""
         written = attrs.evolve(record(9, Leading("one")), updates=20, is_written_back=True, era=2)
         assert table.is_settled(0.5)
         table.adopt(written)
