Show that an update of a former era that lands late is undone

The record of leadership is the only object written on a condition (register and retire write on none). Its field of the era tells: what landed counts as unconfirmed, renews no lease, and who knows more updates writes it back.

--- a/wharftiller/tests/platform/test_restored_platform.py
+++ b/wharftiller/tests/platform/test_restored_platform.py
@@ -9,6 +9,7 @@
 from standins.object_store import Mood
 from wharftiller.core.errors import PlatformUnavailableError
 from wharftiller.daemons.sessions.membership import readers
+from wharftiller.platform.objects import OWN_KIND, RECORD_NAME
 from wharftiller.platform.store import ERA_REVISIONS, ObjectStore
 from wharftiller.tests.platform.world import (
     SETTLED_S,
@@ -206,6 +207,34 @@
 
         run_in_world(story, boxes=9)
 
+    def test_an_update_of_a_former_era_that_lands_late_is_undone(self) -> None:
+        """Its condition was a revision that the platform has given out again meanwhile."""
+
+        async def story(world: World) -> None:
+            group = world.groups[0]
+            taken = world.store.copy()
+            before = world.store.spec(OWN_KIND, RECORD_NAME)
+            await replace_cut_off_primary(world)
+            new = group.primary
+            await restore(world, taken)
+            await trio.sleep(3.0)
+            ordered = list(group.promotions)
+            moving = {**before["groups"]["seats"], "successor": "seats-2"}
+            late = {"planned": False, "ordered": True, **moving}
+            update = {**before, "updates": before["updates"] + 1, "groups": {"seats": late}}
+            world.store.set(OWN_KIND, RECORD_NAME, update)
+            caller = await world.call(world.boxes["box-1"], "primary")
+            for number in range(80):
+                assert (await caller.ask(f"WRITE seat{number} anna"))[0] == "ROW written", number
+                await trio.sleep(0.1)
+            assert (
+                world.store.spec(OWN_KIND, RECORD_NAME)["groups"]["seats"]["endpoint"] == new.name
+            )
+            assert group.primary is new
+            assert group.promotions == ordered
+
+        run_in_world(story)
+
     def test_no_fence_is_given_out_twice(self) -> None:
         """A change of primary in the lost seconds, and one after them."""
 
