--- a/wharftiller/tests/core/test_promotion.py
+++ b/wharftiller/tests/core/test_promotion.py
@@ -32,12 +32,12 @@
 class Driver:
     """A steward's core watching group ``g``; ``a`` leads term 1."""
 
-    def __init__(self) -> None:
-        self.core = StewardCore("box-1", random.Random(1))
+    def __init__(self, box: str = "box-1") -> None:
+        self.core = StewardCore(box, random.Random(1))
         self.now = 100.0
         self.outputs: list[StewardOutput] = []
         self.feed(ConfigurationArrived(CONFIGURATION))
-        self.feed(BoxesPlaced({"box-1": "hall-1"}))
+        self.feed(BoxesPlaced({box: "hall-1"}))
         self.report("a", role=Role.PRIMARY)
         self.report("b")
         self.report("c")
@@ -210,3 +210,28 @@
         driver.report("a")
         driver.feed(Tick())
         assert driver.outputs == []
+
+
+class TestRestoredPlatform:
+    """The platform comes back from a copy, without the record that a steward had written."""
+
+    def test_no_term_that_was_taken_and_lost_is_led_by_two(self) -> None:
+        """The first one stood still between its record and its fences."""
+        first, second = Driver("box-1"), Driver("box-2")
+        for driver in (first, second):
+            driver.lose_primary()
+            driver.take_term()
+        reached = ((first, {"a": 5, "b": 6}), (second, {"b": 6, "c": 7}))
+        for driver, positions in reached:
+            for order in driver.orders(Order.FENCE):
+                if order.endpoint in positions:
+                    driver.obey(order, position=positions[order.endpoint])
+            driver.now += 0.2
+            driver.feed(Tick())
+        led = {
+            (order.term, order.endpoint)
+            for driver in (first, second)
+            for order in driver.orders(Order.PROMOTE)
+        }
+        assert len(led) == 2
+        assert len({term for term, _ in led}) == 2
