--- a/wharftiller/tests/core/leadership/test_lease.py
+++ b/wharftiller/tests/core/leadership/test_lease.py
@@ -215,9 +215,9 @@
             "copies are not doubted",
             "reads count before it is confirmed",
             "neither read nor era tells of the restoration",
-            "lists count where another wrote it back",
-            "lists count where it is restored again",
             "lists count where another told of it",
+            "lists count where it is restored again",
+            "lists count where another wrote it back",
             "lists count at once",
         ],
     )
