Promise a term to one attempt only

What callers could see on the HTTP interface after the platform came back from a copy: writes acknowledged by one of two servers that lead the same term, lost with it. Cause: see the test that 'Show that two stewards may lead one term' brought: only the platform's record made a term's number unique, and a server promised it to whoever asked. Mend: an id for each attempt (process and count), which goes with the fence and the promotion; a server promises a term to one, and one that it learned by following to nobody. Two majorities share a server, so one attempt at most leads a term. Nothing rests on time. A record read once more before the promotion was weighed: only rarer.

The test's first form could not pass by any mend: it answered for the servers, and had both promise. It now asks the stand-in's database, wants just one leader of the term where it wanted two terms, and fails with either half taken out (two leaders).

--- a/standins/database.py
+++ b/standins/database.py
@@ -64,6 +64,8 @@
     ----------
     promised : int
         Everything below this term is refused.
+    promised_to : str
+        The attempt that this term was promised to; empty where it was learned by following.
     leads_in : int
         The term in which it leads; 0 when it does not.
     term_ends : dict of int to int
@@ -76,6 +78,7 @@
 
     name: str
     promised: int = 0
+    promised_to: str = ""
     leads_in: int = 0
     leaving: bool = False
     quiesce: int = QUIESCE_NOTHING
@@ -114,16 +117,17 @@
 
     # Orders of a steward ------------------------------------------------
 
-    def fence(self, term: int) -> bool:
-        """Promise to refuse everything below ``term``; False if already beyond it."""
-        if term < self.promised:
+    def fence(self, term: int, attempt: str = "") -> bool:
+        """Promise ``term`` to one attempt; False if beyond it, or promised to another."""
+        if term < self.promised or (term == self.promised and attempt != self.promised_to):
             return False
         self.promised = term
+        self.promised_to = attempt
         return True
 
-    def promote(self, term: int) -> bool:
-        """Lead in ``term`` if that is the promised one; opens the term's log once."""
-        if term != self.promised:
+    def promote(self, term: int, attempt: str = "") -> bool:
+        """Lead in ``term`` if it was promised to this attempt; opens the term's log once."""
+        if term != self.promised or attempt != self.promised_to:
             return False
         if self.leads_in != term:
             if self.log_term >= term:
@@ -160,7 +164,9 @@
         """
         if term < self.promised or common > len(self.log):
             return False
-        self.promised = term
+        if term > self.promised:
+            self.promised = term
+            self.promised_to = ""
         if self.leads_in != term:
             self.leads_in = 0
             self.quiesce = QUIESCE_NOTHING
--- a/standins/endpoint.py
+++ b/standins/endpoint.py
@@ -194,9 +194,9 @@
             case "/report":
                 await self._wait_for_position(body["wait_position"], body["wait_ms"])
             case "/fence":
-                return self._ordered(self.database.fence(body["term"]))
+                return self._ordered(self.database.fence(body["term"], body["attempt"]))
             case "/promote":
-                return self._promote(body["term"])
+                return self._promote(body["term"], body["attempt"])
             case "/follow":
                 return self._follow(body["term"], body["address"])
             case "/quiesce":
@@ -214,8 +214,8 @@
         self._log_changed()
         return HttpResponse(200 if done else 409, to_json(self._report()))
 
-    def _promote(self, term: int) -> HttpResponse:
-        done = self.database.promote(term)
+    def _promote(self, term: int, attempt: str) -> HttpResponse:
+        done = self.database.promote(term, attempt)
         if done:
             self._follows = None
         return self._ordered(done)
--- a/wharftiller/core/promotion.py
+++ b/wharftiller/core/promotion.py
@@ -156,6 +156,9 @@
         group.record, term=term, owner=tables.box, state=LeadState.TAKING, primary=""
     )
     group.record = taken
+    # A platform that came back from a copy may let two stewards take the same term.
+    tables.attempts += 1
+    group.attempt = f"{tables.process}.{tables.attempts}"
     _go(group, TakingTerm(term), now)
     tables.emit(UpdateRecord(group.spec.name, taken, group.version))
 
@@ -229,6 +232,7 @@
             asked_term,
             level=level,
             hold_ms=QUIESCE_HOLD_MS if level else 0,
+            attempt=group.attempt if order in (Order.FENCE, Order.PROMOTE) else "",
         )
     )
 
--- a/wharftiller/core/steward.py
+++ b/wharftiller/core/steward.py
@@ -54,10 +54,14 @@
         Name of the box.
     detect_s : float
         Silence after which a primary is taken for lost, in seconds.
+    process : str
+        Id that no other process has or had; the box's name if left out.
     """
 
-    def __init__(self, box: str, random: random.Random, detect_s: float = 1.0) -> None:
-        self._tables = WatchTables(box, random, detect_s)
+    def __init__(
+        self, box: str, random: random.Random, detect_s: float = 1.0, process: str = ""
+    ) -> None:
+        self._tables = WatchTables(box, random, detect_s, process or box)
 
     @property
     def tables(self) -> WatchTables:
--- a/wharftiller/core/steward_messages.py
+++ b/wharftiller/core/steward_messages.py
@@ -177,6 +177,8 @@
         For ``FOLLOW``, the control address of the primary.
     level, hold_ms : int
         For ``QUIESCE``: 1 refuses new transactions, 2 all writes, for so long.
+    attempt : str
+        For ``FENCE`` and ``PROMOTE``: who took the term, as a server promises it to one only.
     """
 
     group: str
@@ -187,6 +189,7 @@
     primary_address: str = ""
     level: int = 0
     hold_ms: int = 0
+    attempt: str = ""
 
 
 @attrs.frozen
--- a/wharftiller/core/watch_tables.py
+++ b/wharftiller/core/watch_tables.py
@@ -132,6 +132,8 @@
         Version of the group's record that the attempt is based on.
     record_seen : tuple of int and float
         The newest version read and when it was first seen.
+    attempt : str
+        Id of the attempt that took the newest term of this steward's; no other ever has it.
     wish : Wish or None
         What the attempt under way is for; None when the primary is lost.
     """
@@ -146,6 +148,7 @@
     version: int = 0
     record: GroupRecord = attrs.field(factory=GroupRecord)
     record_seen: tuple[int, float] = (0, 0.0)
+    attempt: str = ""
     wish: Wish | None = None
     wished_at: float | None = None
     done_plans: set[str] = attrs.field(factory=set)
@@ -168,17 +171,23 @@
 
     Attributes
     ----------
+    process : str
+        Id of the steward's process.
     boxes : dict of str to str
         Data centre by box, from the platform's lagging list.
+    attempts : int
+        Terms that the process took or tried to take, in all groups.
     """
 
     box: str
     random: random.Random
     detect_s: float
+    process: str
     configuration: Configuration = attrs.field(factory=Configuration)
     servers: dict[str, WatchedServer] = attrs.field(factory=dict)
     groups: dict[str, WatchedGroup] = attrs.field(factory=dict)
     boxes: dict[str, str] = attrs.field(factory=dict)
+    attempts: int = 0
     ticked_at: float | None = None
     outputs: list[StewardOutput] = attrs.field(factory=list)
     _ranks: dict[tuple[int, frozenset[str]], int | None] = attrs.field(factory=dict)
--- a/wharftiller/daemons/steward.py
+++ b/wharftiller/daemons/steward.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import random
+import secrets
 import time
 from collections.abc import Callable
 from typing import assert_never
@@ -87,7 +88,8 @@
         self._log = part_log("steward", settings.box.name)
         self._metrics = Metrics(settings.metrics.statsd, "steward")
         randomness = random.Random(seed)
-        self._core = StewardCore(settings.box.name, randomness, settings.steward.detect_s)
+        process = f"{settings.box.name}/{secrets.token_hex(6)}"
+        self._core = StewardCore(settings.box.name, randomness, settings.steward.detect_s, process)
         self._platform = PlatformClient(transport, settings.platform.address)
         self._spreader = Spreader(settings, transport, randomness, self._configured, self._listed)
         self._controls: dict[str, HttpClient] = {}
@@ -187,6 +189,7 @@
             "address": order.primary_address,
             "level": order.level,
             "hold_ms": order.hold_ms,
+            "attempt": order.attempt,
         }
         try:
             client = self._control(self._orders, order.address)
--- a/wharftiller/tests/core/test_promotion.py
+++ b/wharftiller/tests/core/test_promotion.py
@@ -5,6 +5,7 @@
 import random
 from typing import Any, TypeVar
 
+from standins.database import Database
 from wharftiller.core.configuration import Configuration
 from wharftiller.core.messages import ConfigurationArrived, Report, Role, Tick
 from wharftiller.core.steward import StewardCore
@@ -221,17 +222,18 @@
         for driver in (first, second):
             driver.lose_primary()
             driver.take_term()
+        databases = {name: Database(name) for name in "abc"}
         reached = ((first, {"a": 5, "b": 6}), (second, {"b": 6, "c": 7}))
+        led: list[tuple[int, str]] = []
         for driver, positions in reached:
             for order in driver.orders(Order.FENCE):
                 if order.endpoint in positions:
-                    driver.obey(order, position=positions[order.endpoint])
+                    accepted = databases[order.endpoint].fence(order.term, order.attempt)
+                    position = positions[order.endpoint]
+                    driver.obey(order, accepted=accepted, position=position)
             driver.now += 0.2
             driver.feed(Tick())
-        led = {
-            (order.term, order.endpoint)
-            for driver in (first, second)
-            for order in driver.orders(Order.PROMOTE)
-        }
-        assert len(led) == 2
-        assert len({term for term, _ in led}) == 2
+        for order in (*first.orders(Order.PROMOTE), *second.orders(Order.PROMOTE)):
+            if databases[order.endpoint].promote(order.term, order.attempt):
+                led.append((order.term, order.endpoint))
+        assert led == [(2, "b")]
