Use the one type of an endpoint's status in doubts; name what the log tells

EndpointWord said what EndpointStatus says already, and 'word' stands for boxes' promises elsewhere.

--- a/wharftiller/core/leadership/doubts.py
+++ b/wharftiller/core/leadership/doubts.py
@@ -17,38 +17,20 @@
 
 if TYPE_CHECKING:
     from wharftiller.core.leadership.record import Leading
-    from wharftiller.core.positions import LogPosition
+    from wharftiller.core.sessions.statements import EndpointStatus
 
 ORDERS_EFFECT_S = TAKE_OVER_ORDERED_S
 """Time after which no promotion ordered before the restoration takes effect, in seconds."""
 
 
-@attrs.frozen
-class EndpointWord:
-    """What an endpoint told of itself.
-
-    Attributes
-    ----------
-    term : int
-        The newest term that it knows.
-    received : LogPosition
-        End of the log that it has received.
-    """
-
-    name: str
-    leads: bool
-    term: int
-    received: LogPosition
-
-
 @attrs.frozen
 class DoubtEvidence:
     """What a box knows of a group whose primary is doubted.
 
     Attributes
     ----------
-    words : tuple of EndpointWord
-        Of those that answered.
+    statuses : dict of str to EndpointStatus
+        What the endpoints that answered told of themselves, by name.
     silent : frozenset of str
         Registered endpoints that did not.
     vanished : frozenset of str
@@ -61,7 +43,7 @@
         Replicas that hold a write before it is acknowledged.
     """
 
-    words: tuple[EndpointWord, ...]
+    statuses: dict[str, EndpointStatus]
     silent: frozenset[str]
     vanished: frozenset[str]
     doubted_s: float
@@ -77,24 +59,26 @@
     of boxes that ended can take effect where every endpoint answers. Beside a silent one it
     waits for all leases: the silent one may be the primary that some box still uses.
     """
-    if not evidence.words or evidence.doubted_s < ORDERS_EFFECT_S:
+    if not evidence.statuses or evidence.doubted_s < ORDERS_EFFECT_S:
         return None
-    leader = _newest_leader(evidence.words)
+    leader = _newest_leader(evidence.statuses)
     if leader is not None and not evidence.silent and not evidence.vanished:
-        return leader.name
+        return leader
     if not evidence.is_settled:
         return None
     if evidence.sync_replicas and len(evidence.silent) > evidence.sync_replicas:
         # The silent ones may be all that hold an acknowledged write.
         return None
-    if leader is not None:
-        return leader.name
-    return max(
-        evidence.words, key=lambda word: (word.received, word.name == doubted.endpoint, word.name)
-    ).name
+    return leader or _most_advanced(evidence.statuses, doubted.endpoint)
 
 
-def _newest_leader(words: tuple[EndpointWord, ...]) -> EndpointWord | None:
+def _newest_leader(statuses: dict[str, EndpointStatus]) -> str | None:
     """Return who leads the newest term that any endpoint knows, if it told so."""
-    newest = max(word.term for word in words)
-    return next((word for word in words if word.leads and word.term == newest), None)
+    newest = max(status.term for status in statuses.values())
+    leaders = [name for name, told in statuses.items() if told.leads and told.term == newest]
+    return leaders[0] if leaders else None
+
+
+def _most_advanced(statuses: dict[str, EndpointStatus], recorded: str) -> str:
+    """Return who has received most; of equals the recorded primary, then by name."""
+    return max(statuses, key=lambda name: (statuses[name].received, name == recorded, name))
--- a/wharftiller/daemons/sessions/leadership/doubts.py
+++ b/wharftiller/daemons/sessions/leadership/doubts.py
@@ -13,6 +13,7 @@
 if TYPE_CHECKING:
     from wharftiller.core.leadership.record import LeadershipRecord, Leading
     from wharftiller.core.sessions.endpoints import EndpointRow
+    from wharftiller.core.sessions.statements import EndpointStatus
     from wharftiller.daemons.sessions.leadership.record_writer import RecordWriter
     from wharftiller.daemons.sessions.leadership.successors import Successors
     from wharftiller.daemons.sessions.state import SharedState
@@ -31,7 +32,7 @@
         self._era = -1
         self._since = math.inf
 
-    def look(self, record: LeadershipRecord) -> None:
+    def note(self, record: LeadershipRecord) -> None:
         """Note since when primaries are doubted; a further restoration begins anew."""
         if not record.doubted:
             self._since = math.inf
@@ -60,13 +61,12 @@
     async def successor(self, group: str, doubted: Leading, turn: int) -> str | None:
         """Return whom to promote in ``group``, None while that cannot be told."""
         doubted_s = trio.current_time() - self._since - turn * TURN_S
-        words = await self._successors.words(group)
+        statuses = await self._successors.statuses(group)
         rows = self._rows_of(group)
-        answered = {word.name for word in words}
         limits = self._state.configuration.groups.get(group)
         evidence = DoubtEvidence(
-            words,
-            silent=frozenset(r.name for r in rows if not r.gone) - answered,
+            statuses,
+            silent=frozenset(r.name for r in rows if not r.gone) - statuses.keys(),
             vanished=frozenset(r.name for r in rows if r.gone and not r.entry.leaving),
             doubted_s=doubted_s,
             is_settled=self._state.leases.is_settled(trio.current_time()),
@@ -77,7 +77,7 @@
             "primary_doubted",
             group=group,
             recorded=doubted.endpoint,
-            told=[f"{w.name}{' leads' if w.leads else ''} {w.term} {w.received}" for w in words],
+            told=[_described(name, status) for name, status in statuses.items()],
             silent=sorted(evidence.silent | evidence.vanished),
             doubted_s=round(doubted_s, 1),
             successor=successor,
@@ -88,3 +88,9 @@
         """Return every endpoint of ``group`` that this box ever saw registered."""
         rows = self._state.endpoints.rows.values()
         return [row for row in rows if row.entry.group == group]
+
+
+def _described(name: str, status: EndpointStatus) -> str:
+    """Return what an endpoint told, in a few words for the log."""
+    role = "leads" if status.leads else "follows in"
+    return f"{name} {role} term {status.term}, log {status.received}"
--- a/wharftiller/daemons/sessions/leadership/mover.py
+++ b/wharftiller/daemons/sessions/leadership/mover.py
@@ -121,7 +121,7 @@
 
     async def _clear_doubts(self) -> bool:
         record = self._state.leases.record
-        self._doubts.look(record)
+        self._doubts.note(record)
         return bool(record.doubted) and await self._doubts.clear(record, self._turn("doubts"))
 
     def _is_settled(self) -> bool:
--- a/wharftiller/daemons/sessions/leadership/successors.py
+++ b/wharftiller/daemons/sessions/leadership/successors.py
@@ -8,7 +8,6 @@
 import trio
 
 from wharftiller.core.errors import EndpointRefusedError, ExchangeError
-from wharftiller.core.leadership.doubts import EndpointWord
 from wharftiller.core.leadership.moves import Candidate, best_candidate
 from wharftiller.core.leadership.record import Leading, Moving
 
@@ -63,13 +62,10 @@
             for row, status in await self._ask(replicas)
         ]
 
-    async def words(self, group: str) -> tuple[EndpointWord, ...]:
-        """Return what every registered endpoint of ``group`` tells of itself, asked now."""
+    async def statuses(self, group: str) -> dict[str, EndpointStatus]:
+        """Return what the registered endpoints of ``group`` tell of themselves, asked now."""
         told = await self._ask(self._state.endpoints.of_group(group))
-        return tuple(
-            EndpointWord(row.name, status.leads, status.term, status.received)
-            for row, status in told
-        )
+        return {row.name: status for row, status in told}
 
     async def _ask(self, rows: list[EndpointRow]) -> list[tuple[EndpointRow, EndpointStatus]]:
         """Ask these endpoints at once; return what those say that answer."""
--- a/wharftiller/tests/core/leadership/histories.py
+++ b/wharftiller/tests/core/leadership/histories.py
@@ -310,7 +310,7 @@
             box.table.adopt(self._replace_record(believed.with_group(GROUP, sure)))
             return
         evidence = DoubtEvidence(
-            self._endpoints.words(self.now),
+            self._endpoints.statuses(self.now),
             self._endpoints.silent(self.now),
             frozenset(),
             self.now - box.doubts_since,
--- a/wharftiller/tests/core/leadership/model_endpoints.py
+++ b/wharftiller/tests/core/leadership/model_endpoints.py
@@ -9,8 +9,8 @@
 
 import attrs
 
-from wharftiller.core.leadership.doubts import EndpointWord
 from wharftiller.core.positions import LogPosition
+from wharftiller.core.sessions.statements import EndpointStatus
 
 KNOWS_LATE_S = 15.0
 """Longest time for which a replaced primary goes on believing that it leads, in seconds."""
@@ -62,9 +62,13 @@
             promoted.is_unlisted = dice.random() < UNLISTED_PART
         self._all[name] = self._primary = promoted
 
-    def words(self, now: float) -> tuple[EndpointWord, ...]:
-        """Return what those say of themselves that answer now."""
-        return tuple(self._word(each, now) for each in self._all.values() if not each.is_dark(now))
+    def statuses(self, now: float) -> dict[str, EndpointStatus]:
+        """Return what those tell of themselves that answer now."""
+        return {
+            name: self._status(each, now)
+            for name, each in self._all.items()
+            if not each.is_dark(now)
+        }
 
     def silent(self, now: float) -> frozenset[str]:
         """Return those that are registered and do not answer now."""
@@ -72,7 +76,7 @@
             each.name for each in self._all.values() if each.is_dark(now) and not each.is_unlisted
         )
 
-    def _word(self, endpoint: ModelEndpoint, now: float) -> EndpointWord:
+    def _status(self, endpoint: ModelEndpoint, now: float) -> EndpointStatus:
         leads = endpoint is self._primary or now < endpoint.believes_until
         term = endpoint.term if leads else self._primary.term
-        return EndpointWord(endpoint.name, leads, term, LogPosition(endpoint.term, 0))
+        return EndpointStatus(leads, term, LogPosition(endpoint.term, 0), connections=0)
--- a/wharftiller/tests/core/leadership/test_doubts.py
+++ b/wharftiller/tests/core/leadership/test_doubts.py
@@ -8,25 +8,31 @@
 from wharftiller.core.leadership.doubts import (
     ORDERS_EFFECT_S,
     DoubtEvidence,
-    EndpointWord,
     whom_to_promote,
 )
 from wharftiller.core.leadership.record import Leading
 from wharftiller.core.positions import LogPosition
+from wharftiller.core.sessions.statements import EndpointStatus
 
 RECORDED = Leading("one", 1, is_doubted=True)
 
 
-def word(name: str, term: int, index: int, *, leads: bool = False) -> EndpointWord:
-    return EndpointWord(name, leads, term, LogPosition(term, index))
+def status(term: int, index: int, *, leads: bool = False) -> EndpointStatus:
+    return EndpointStatus(leads, term, LogPosition(term, index), connections=1)
 
 
-STILL_LED = (word("one", 1, 9, leads=True), word("two", 1, 8), word("three", 1, 9))
-REPLACED = (word("one", 1, 12, leads=True), word("two", 2, 9, leads=True), word("three", 2, 9))
+STILL_LED = {"one": status(1, 9, leads=True), "two": status(1, 8), "three": status(1, 9)}
+REPLACED = {
+    "one": status(1, 12, leads=True),
+    "two": status(2, 9, leads=True),
+    "three": status(2, 9),
+}
 
 
-def evidence(words: tuple[EndpointWord, ...], *silent: str, **changes: object) -> DoubtEvidence:
-    known = DoubtEvidence(words, frozenset(silent), frozenset(), ORDERS_EFFECT_S, is_settled=False)
+def evidence(statuses: dict[str, EndpointStatus], *silent: str, **changes: object) -> DoubtEvidence:
+    known = DoubtEvidence(
+        statuses, frozenset(silent), frozenset(), ORDERS_EFFECT_S, is_settled=False
+    )
     return attrs.evolve(known, **changes)  # type: ignore[arg-type]
 
 
@@ -43,9 +49,9 @@
         assert whom_to_promote(RECORDED, early) is None
 
     def test_nobody_leads_the_newest_term(self) -> None:
-        words = (word("one", 1, 12, leads=True), word("three", 2, 9))
-        assert whom_to_promote(RECORDED, evidence(words)) is None
-        assert whom_to_promote(RECORDED, evidence(words, is_settled=True)) == "three"
+        told = {"one": status(1, 12, leads=True), "three": status(2, 9)}
+        assert whom_to_promote(RECORDED, evidence(told)) is None
+        assert whom_to_promote(RECORDED, evidence(told, is_settled=True)) == "three"
 
 
 class TestSomeAreSilent:
@@ -55,21 +61,23 @@
         ids=["registered", "gone"],
     )
     def test_one_that_cannot_be_asked_may_be_in_use(self, unseen: dict[str, object]) -> None:
-        words = (word("one", 1, 12, leads=True), word("three", 1, 9))
-        assert whom_to_promote(RECORDED, evidence(words, **unseen)) is None
-        assert whom_to_promote(RECORDED, evidence(words, **unseen, is_settled=True)) == "one"
+        told = {"one": status(1, 12, leads=True), "three": status(1, 9)}
+        assert whom_to_promote(RECORDED, evidence(told, **unseen)) is None
+        assert whom_to_promote(RECORDED, evidence(told, **unseen, is_settled=True)) == "one"
 
     def test_what_a_replica_knows_refutes_the_record_too(self) -> None:
-        words = (word("one", 1, 12, leads=True), word("three", 2, 9))
-        assert whom_to_promote(RECORDED, evidence(words, "two", is_settled=True)) == "three"
+        told = {"one": status(1, 12, leads=True), "three": status(2, 9)}
+        assert whom_to_promote(RECORDED, evidence(told, "two", is_settled=True)) == "three"
 
     def test_no_acknowledged_write_is_left_behind(self) -> None:
         """Each is on two of three endpoints: one may be silent, not two."""
-        two = evidence(STILL_LED[:2], "three", is_settled=True, sync_replicas=1)
-        one = evidence(STILL_LED[:1], "two", "three", is_settled=True, sync_replicas=1)
+        primary = {"one": STILL_LED["one"]}
+        both = {**primary, "two": STILL_LED["two"]}
+        two = evidence(both, "three", is_settled=True, sync_replicas=1)
+        one = evidence(primary, "two", "three", is_settled=True, sync_replicas=1)
         assert whom_to_promote(RECORDED, two) == "one"
         assert whom_to_promote(RECORDED, one) is None
 
     def test_nothing_is_decided_while_nobody_answers(self) -> None:
-        nobody = evidence((), "one", "two", "three", is_settled=True)
+        nobody = evidence({}, "one", "two", "three", is_settled=True)
         assert whom_to_promote(RECORDED, nobody) is None
