--- a/wharftiller/tests/core/leadership/histories.py
+++ b/wharftiller/tests/core/leadership/histories.py
@@ -21,6 +21,7 @@
 from wharftiller.core.leadership.moves import TAKE_OVER_S
 from wharftiller.core.leadership.record import LeadershipRecord, Leading, Moving
 from wharftiller.tests.core.leadership.model_endpoints import ModelEndpoints
+from wharftiller.tests.core.leadership.model_platform import ModelPlatform
 from wharftiller.tests.core.leadership.weak_table import Rules, WeakTable
 
 GROUP = "seats"
@@ -31,9 +32,6 @@
 COPY_AGE_S = 5.0
 """Greatest age of a copy that the platform comes back from, in seconds."""
 
-ERA_REVISIONS = 10**6
-"""Revisions of one era; those of the next come after them, whatever the platform counts."""
-
 DOUBTS_S = 0.5
 """Time between a box's looks at primaries that are doubted, in seconds."""
 
@@ -78,7 +76,6 @@
     ) -> None:
         self._deaths = deaths
         self._restores = restores
-        self._era = 0
         self._random = random.Random(seed)
         self._doubt_dice = random.Random(f"doubts of {seed}")
         self._endpoints = ModelEndpoints(seed)
@@ -86,10 +83,8 @@
         self._events: list[_Event] = []
         self._numbers = itertools.count()
         self.now = 0.0
-        self.record = LeadershipRecord(1, 0, "", "", {GROUP: Leading("p0")})
-        self.revision = 1
-        self.listed: dict[str, ModelBox] = {}
-        self.marks: dict[str, int] = {}
+        first = LeadershipRecord(1, 0, "", "", {GROUP: Leading("p0")})
+        self._platform = ModelPlatform(first)
         self.unwaited = 0
         self.boxes: list[ModelBox] = []
         self.primary = "p0"
@@ -97,8 +92,6 @@
         self.wrong: list[str] = []
         self._names = itertools.count()
         self._cuts: dict[frozenset[str], float] = {}
-        self._platform_away_until = 0.0
-        self._written_at = 0.0
 
     def run(self) -> None:
         """Play it to its end."""
@@ -143,7 +136,7 @@
         run()
 
     def _reaches_platform(self, box: ModelBox) -> bool:
-        return self.now >= self._platform_away_until and self.now >= box.away_until
+        return self.now >= self._platform.away_until and self.now >= box.away_until
 
     def _connected(self, a: ModelBox, b: ModelBox) -> bool:
         return self.now >= self._cuts.get(frozenset((a.name, b.name)), 0.0)
@@ -156,12 +149,13 @@
         asked_at = self.now
         if not self._reaches_platform(box):
             return
-        first = self.listed.get(box.name) is not box or box.name in self.marks
+        platform = self._platform
+        first = platform.listed.get(box.name) is not box or box.name in platform.marks
         if first:
-            self.listed[box.name] = box
-            self.marks.pop(box.name, None)
-        record = attrs.evolve(self.record, era=self._era)
-        listed, marks = dict(self.listed), dict(self.marks)
+            platform.listed[box.name] = box
+            platform.marks.pop(box.name, None)
+        record = platform.read_record()
+        listed, marks = dict(platform.listed), dict(platform.marks)
         delay = self._random.uniform(0, CALL_S)
 
         def answered() -> None:
@@ -233,15 +227,15 @@
                 box.dead = sum(not each.dead for each in self.boxes) > 2
             case 10:
                 # Any box may be marked, whether it is dead or only seems to be.
-                name = pick.choice(list(self.listed) or [""])
+                name = pick.choice(list(self._platform.listed) or [""])
                 if self._reaches_platform(box) and name not in ("", box.name):
-                    self.marks[name] = next(self._numbers)
+                    self._platform.marks[name] = next(self._numbers)
             case 0:
                 box.frozen_until = self.now + pick.uniform(0.5, 9)
             case 1:
                 box.away_until = self.now + pick.uniform(1, 12)
             case 2:
-                self._platform_away_until = self.now + pick.uniform(1, 14)
+                self._platform.away_until = self.now + pick.uniform(1, 14)
             case 3:
                 for other in self.boxes:
                     if pick.random() < 0.7:
@@ -259,36 +253,22 @@
 
     def _copy(self) -> None:
         """Take a copy; the platform is away in some seconds and comes back from it."""
-        revision, record = self.revision, self.record
-        listed, marks = dict(self.listed), dict(self.marks)
+        platform = self._platform
+        copy = platform.copy()
         away_s = self._random.uniform(0.2, 3.0)
 
         def away() -> None:
-            self._platform_away_until = max(self._platform_away_until, self.now + away_s)
-            self._at(away_s, back)
-
-        def back() -> None:
-            self._era += 1
-            self.revision = self._era * ERA_REVISIONS + revision % ERA_REVISIONS
-            self.record = attrs.evolve(
-                record,
-                revision=self._era * ERA_REVISIONS + record.revision % ERA_REVISIONS,
-                is_confirmed=False,
-            )
-            self.listed, self.marks = listed, marks
+            platform.away_until = max(platform.away_until, self.now + away_s)
+            self._at(away_s, lambda: platform.come_back_from(copy))
 
         self._at(self._random.uniform(0.1, COPY_AGE_S), away)
         self._at(self._random.uniform(8, 20), self._copy)
 
     def _write_back(self, box: ModelBox) -> None:
         written = box.table.to_write_back(self.now)
-        if written is None or self.record.revision != written.revision:
+        if written is None or self._platform.record.revision != written.revision:
             return
-        self.revision += 1
-        self.record = attrs.evolve(
-            written, revision=self.revision, is_confirmed=True, era=self._era
-        )
-        box.table.adopt(self.record)
+        box.table.adopt(self._platform.write(written))
 
     # Doubted primaries ----------------------------------------------------
 
@@ -303,7 +283,7 @@
             return
         if box.doubts_since is None:
             box.doubts_since = self.now
-        if believed.revision != self.record.revision or not self._reaches_platform(box):
+        if believed.revision != self._platform.record.revision or not self._reaches_platform(box):
             return
         if GROUP in box.table.surely_led(self.now):
             sure = attrs.evolve(believed.doubted[GROUP], is_doubted=False)
@@ -322,17 +302,9 @@
             self._take_record(box, believed, moving, self._doubt_dice)
 
     def _replace_record(self, record: LeadershipRecord) -> LeadershipRecord:
-        self.revision += 1
-        self._written_at = self.now
-        self.record = attrs.evolve(
-            record,
-            revision=self.revision,
-            updates=record.updates + 1,
-            is_confirmed=True,
-            is_written_back=False,
-            era=self._era,
-        )
-        return self.record
+        self._platform.written_at = self.now
+        updates = record.updates + 1
+        return self._platform.write(attrs.evolve(record, updates=updates, is_written_back=False))
 
     # A change of primary ------------------------------------------------
 
@@ -340,15 +312,15 @@
         if box.moving or not box.table.read_from_platform or not self._reaches_platform(box):
             return
         believed = box.table.record
-        if believed.revision != self.record.revision:
+        if believed.revision != self._platform.record.revision:
             return
         if self._rules.settled_first and not box.table.is_settled(self.now):
             return
         state = believed.groups[GROUP]
         match state:
             case Leading():
-                moving = Moving(state, f"p{self.revision + 1}", planned=False)
-            case Moving() if self.now - self._written_at > TAKE_OVER_S:
+                moving = Moving(state, f"p{self._platform.revision + 1}", planned=False)
+            case Moving() if self.now - self._platform.written_at > TAKE_OVER_S:
                 moving = state
             case _:
                 return
@@ -361,8 +333,8 @@
         won = self._replace_record(held.with_group(GROUP, moving))
         box.moving = True
         # What was read before the win may still be on its way to other boxes.
-        listed = dict(self.listed) if self._rules.list_read_after_win else None
-        marks = dict(self.marks)
+        listed = dict(self._platform.listed) if self._rules.list_read_after_win else None
+        marks = dict(self._platform.marks)
         delay = dice.uniform(0, CALL_S)
         self._at(delay, lambda: self._later(box, lambda: self._won(box, won, listed, marks)))
 
@@ -420,7 +392,7 @@
         return since is not None and self.now - since > LISTING_S + LEASE_S
 
     def _promote(self, box: ModelBox, won: LeadershipRecord) -> None:
-        if self.record.revision != won.revision:
+        if self._platform.record.revision != won.revision:
             return
         self.primary = won.moving[GROUP].successor
         self._endpoints.promote(self.primary, self.now)
@@ -428,16 +400,14 @@
         self._at(0.3, lambda: self._later(box, lambda: self._lead(box, won)))
 
     def _lead(self, box: ModelBox, won: LeadershipRecord) -> None:
-        if self.record.revision != won.revision:
+        if self._platform.record.revision != won.revision:
             return
         if not self._reaches_platform(box):
             self._at(0.5, lambda: self._later(box, lambda: self._lead(box, won)))
             return
-        self.revision += 1
-        leading = Leading(won.moving[GROUP].successor, self.revision)
-        led = attrs.evolve(won, revision=self.revision, updates=won.updates + 1, era=self._era)
-        self.record = led.with_group(GROUP, leading)
-        box.table.adopt(self.record)
+        leading = Leading(won.moving[GROUP].successor, self._platform.revision + 1)
+        led = attrs.evolve(won, updates=won.updates + 1).with_group(GROUP, leading)
+        box.table.adopt(self._platform.write(led))
         box.moving = False
 
 
--- /dev/null
+++ b/wharftiller/tests/core/leadership/model_platform.py
@@ -0,0 +1,77 @@
+"""The platform of a history: the record, the list of boxes, and copies that it comes back from."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import attrs
+
+from wharftiller.core.leadership.record import LeadershipRecord
+
+if TYPE_CHECKING:
+    from wharftiller.tests.core.leadership.histories import ModelBox
+
+ERA_REVISIONS = 10**6
+"""Revisions of one era; those of the next come after them, whatever the platform counts."""
+
+
+@attrs.frozen
+class PlatformCopy:
+    """What the platform held at one moment."""
+
+    revision: int
+    record: LeadershipRecord
+    listed: dict[str, ModelBox]
+    marks: dict[str, int]
+
+
+@attrs.define(eq=False)
+class ModelPlatform:
+    """The platform's objects.
+
+    Attributes
+    ----------
+    record : LeadershipRecord
+        As it was last written.
+    listed : dict of str to ModelBox
+        The registered boxes.
+    marks : dict of str to int
+        Number of the mark on each box that is taken for dead.
+    away_until : float
+        When it answers again, in seconds.
+    written_at : float
+        When the record was last written in a change of primary, in seconds.
+    """
+
+    record: LeadershipRecord
+    revision: int = 1
+    era: int = 0
+    listed: dict[str, ModelBox] = attrs.field(factory=dict)
+    marks: dict[str, int] = attrs.field(factory=dict)
+    away_until: float = 0.0
+    written_at: float = 0.0
+
+    def read_record(self) -> LeadershipRecord:
+        """Return the record with the era in which it is read."""
+        return attrs.evolve(self.record, era=self.era)
+
+    def write(self, record: LeadershipRecord) -> LeadershipRecord:
+        """Replace the record, under a new revision; return what stands there."""
+        self.revision += 1
+        self.record = attrs.evolve(record, revision=self.revision, era=self.era, is_confirmed=True)
+        return self.record
+
+    def copy(self) -> PlatformCopy:
+        """Return what it holds now."""
+        return PlatformCopy(self.revision, self.record, dict(self.listed), dict(self.marks))
+
+    def come_back_from(self, copy: PlatformCopy) -> None:
+        """Hold what it held when ``copy`` was taken; revisions are given out anew."""
+        self.era += 1
+        self.revision = self._in_this_era(copy.revision)
+        revision = self._in_this_era(copy.record.revision)
+        self.record = attrs.evolve(copy.record, revision=revision, is_confirmed=False)
+        self.listed, self.marks = copy.listed, copy.marks
+
+    def _in_this_era(self, revision: int) -> int:
+        return self.era * ERA_REVISIONS + revision % ERA_REVISIONS
