--- a/review/2/case.py
+++ b/review/2/case.py
@@ -18,8 +18,11 @@
 RESTART_S = 1.0
 """Time after which a machine that was stopped starts again, in seconds."""
 
-LATE_S = 3.0
-"""Time after which the store does the call that it does not answer, in seconds (1 to 6)."""
+LISTED_S = 1.4
+"""Time from the registration of the new process until the late call is done, in seconds."""
+
+GAP_S = 0.7
+"""Time between the replacements of two primaries, in seconds."""
 
 DRAIN_S = 8.0
 """Time for which a draining server serves on, in seconds: `DrainMs` and a little more."""
@@ -33,13 +36,12 @@
         for group in deployment.groups:
             for _ in range(2):
                 deployment.nursery.start_soon(
-                    consumers.keep_session, box.name, box.front, f"booking-{group.name}", 0.2, 0.12
+                    consumers.keep_session, box.name, box.front, f"booking-{group.name}", 0.15, 0.08
                 )
     await trio.sleep(4.0)
     restarted = next(box for box in deployment.boxes if box.name == RESTARTED)
     if has_trouble:
         withdrawal = f"/v1/objects/wharftiller/box.{RESTARTED}"
-        store.late_s = LATE_S
         store.is_late = lambda call: call.method == "DELETE" and call.path == withdrawal
     await deployment.terminate(restarted)
     await trio.sleep(RESTART_S)
@@ -47,9 +49,10 @@
     deployment.start_box(restarted)
     if not await deployment.wait_ready([restarted], 5.0):
         raise CannotRunError("the restarted box did not become ready")
+    await trio.sleep(LISTED_S)
+    store.do_late.set()
     if has_trouble and not await wait_for(lambda: bool(store.late_done), 6.0):
         raise CannotRunError("the box sent no withdrawal")
-    await trio.sleep(0.8)
     await _replace_primaries(deployment)
     stale = sum(stale_primary_reads(g, consumers, deployment.record) for g in deployment.groups)
     at_old = sum(commits_at_old_primary(g, consumers, deployment.record) for g in deployment.groups)
@@ -72,6 +75,7 @@
         server.draining = True
         deployment.store.register(server)
         deployment.record.note("draining", server=server.name)
+        await trio.sleep(GAP_S)
     await trio.sleep(DRAIN_S)
     for server in old:
         _end(deployment, server)
--- a/review/common/platform.py
+++ b/review/common/platform.py
@@ -14,6 +14,10 @@
 ANSWER_S = 0.004
 """Time that an answer of the store takes, in seconds."""
 
+LATE_MIN_S = 1.0
+LATE_MAX_S = 6.0
+"""Time after which a call is done that is done late and not answered, in seconds."""
+
 
 class Store(ObjectStoreStandIn):
     """The platform's store and promotion call.
@@ -22,8 +26,8 @@
     ----------
     is_late : callable
         Returns whether a writing call is done late and not answered.
-    late_s : float
-        Time after which a late call is done, in seconds.
+    do_late : trio.Event
+        Late calls are done once this is set, between `LATE_MIN_S` and `LATE_MAX_S` after they came.
     """
 
     def __init__(self, groups: list[Group], note: Callable[..., None]) -> None:
@@ -32,7 +36,7 @@
         self._note = note
         self._nursery: trio.Nursery | None = None
         self.is_late: Callable[[HttpRequest], bool] = lambda request: False
-        self.late_s = 4.0
+        self.do_late = trio.Event()
         self.late_done: list[float] = []
 
     async def run(self, address: str, nursery: trio.Nursery) -> None:
@@ -58,7 +62,9 @@
         return await self._handle_objects(request)
 
     async def _do_late(self, request: HttpRequest) -> None:
-        await trio.sleep(self.late_s)
+        await trio.sleep(LATE_MIN_S)
+        with trio.move_on_after(LATE_MAX_S - LATE_MIN_S):
+            await self.do_late.wait()
         await self._handle_objects(request)
         self.late_done.append(trio.current_time())
         self._note("done_late", call=f"{request.method} {request.path}")
