--- a/review/common/checks.py
+++ b/review/common/checks.py
@@ -100,3 +100,10 @@
                 promoted=record.at(promoted_at),
             )
     return found
+
+
+def served_share(consumers: Consumers, since: float, until: float) -> float:
+    """Return the share of the requests sent from ``since`` to ``until`` that were served."""
+    sent = [asked for asked in consumers.asked.values() if since <= asked.sent_at < until]
+    failed = sum(since <= at < until for at in consumers.no_session_at)
+    return sum(asked.succeeded for asked in sent) / max(1, len(sent) + failed)
--- a/review/common/consumers.py
+++ b/review/common/consumers.py
@@ -39,6 +39,7 @@
         self._note = note
         self._numbers = itertools.count(1)
         self.asked: dict[str, Asked] = {}
+        self.no_session_at: list[float] = []
 
     async def keep_session(
         self, box: str, address: str, database: str, write_share: float, pause_s: float
@@ -46,8 +47,12 @@
         """Keep a session open and send single statements on it, one after the other."""
         random_numbers = random.Random(f"{box}{database}{next(self._numbers)}")
         while True:
+            started, before = trio.current_time(), len(self.asked)
             with suppress(OSError, trio.BrokenResourceError, trio.TooSlowError):
                 await self._session(box, address, database, write_share, pause_s, random_numbers)
+            if len(self.asked) == before:
+                self.no_session_at.append(started)
+                self._note("no_session", box=box, database=database)
             await trio.sleep(0.2)
 
     async def _session(
--- a/review/common/deployment.py
+++ b/review/common/deployment.py
@@ -246,6 +246,14 @@
             box.process.wait()
         self.record.note("box_ended", box=box.name)
 
+    def kill_all(self) -> None:
+        """Kill the processes of all boxes."""
+        self.record.note("kill_all")
+        for box in self.boxes:
+            assert box.process is not None
+            box.process.kill()
+            box.process.wait()
+
     def stop(self) -> None:
         """End every process that was started."""
         for box in self.boxes:
--- a/review/common/platform.py
+++ b/review/common/platform.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 
+import orjson
 import trio
 
 from review.common.servers import Group, Server
@@ -18,6 +19,19 @@
 LATE_MAX_S = 6.0
 """Time after which a call is done that is done late and not answered, in seconds."""
 
+UNREADABLE = "@unreadable@"
+"""Stands for half of a surrogate pair in a text that another writer has stored."""
+
+HALF_A_PAIR = rb"\ud83d"
+"""Escape of such a half: allowed by JSON's grammar, but no character."""
+
+
+def _with_unreadable_bytes(response: HttpResponse) -> HttpResponse:
+    body = orjson.dumps(response.body)
+    if UNREADABLE.encode() in body:
+        response.body = body.replace(UNREADABLE.encode(), HALF_A_PAIR)
+    return response
+
 
 class Store(ObjectStoreStandIn):
     """The platform's store and promotion call.
@@ -59,7 +73,7 @@
             self._note("answer_lost", call=f"{request.method} {request.path}")
             self._nursery.start_soon(self._do_late, request)
             await trio.sleep_forever()
-        return await self._handle_objects(request)
+        return _with_unreadable_bytes(await self._handle_objects(request))
 
     async def _do_late(self, request: HttpRequest) -> None:
         await trio.sleep(LATE_MIN_S)
