Log which boxes released their leases, and when a box is no longer listed

A failover's log named the boxes that did not release their leases, but not those that were asked; and a box that found itself missing from the list of boxes registered again without a line. So the logs of a stale read could not tell whether its box had been asked and answered wrongly, or had not been asked.

Now `leases_released` names the boxes that were asked (up to eight, and how many), and `box_unlisted` says when a read shows that the list does not hold this process, with the process or tombstone found in its place.

--- a/wharftiller/daemons/sessions/leadership/lease_revocation.py
+++ b/wharftiller/daemons/sessions/leadership/lease_revocation.py
@@ -8,6 +8,7 @@
 
 from wharftiller.core.errors import PlatformUnavailableError
 from wharftiller.core.leadership.lease import LEASE_S, MAX_BOX_LIST_AGE_S
+from wharftiller.daemons.sessions.membership.boxes import MAX_NAMED
 
 if TYPE_CHECKING:
     from wharftiller.core.leadership.record import LeadershipRecord
@@ -61,6 +62,7 @@
         if dead:
             self._state.log.change("dead_boxes_not_waited_for", boxes=dead)
         pending = {n: box for n, box in self._directory.boxes.items() if n not in dead}
+        asked = sorted(pending)
         if all(failover.planned for failover in record.failovers.values()):
             await self._wait_beside_unresponsive(won_at, pending)
         async with trio.open_nursery() as nursery:
@@ -69,8 +71,13 @@
             has_old_member = await self._request_releases(pending, record)
         while True:
             answering = self._answering_lost_primaries(record, won_at)
-            if answering or (listed and not pending):
+            if answering:
                 return answering
+            if listed and not pending:
+                self._state.log.change(
+                    "leases_released", boxes=asked[:MAX_NAMED], boxes_count=len(asked)
+                )
+                return []
             now = trio.current_time()
             if now >= won_at + LEASE_S and (has_old_member or self._is_old_member(now)):
                 self._state.log.change("lease_waited_out", silent=sorted(pending))
--- a/wharftiller/daemons/sessions/membership/shared_reads.py
+++ b/wharftiller/daemons/sessions/membership/shared_reads.py
@@ -167,8 +167,8 @@
             snapshot = await self._shared.read()
             if self._snapshot_applier.holds_this_process(snapshot):
                 return snapshot, asked_at
-        # Other boxes' lists may lack this one: its time in the list starts again.
-        self._directory.listed_since = None
+            # Other boxes' lists may lack this one: its time in the list starts again.
+            self._snapshot_applier.record_unlisted(snapshot)
         await self._shared.register(self._box)
         self._has_registered = True
         if self._waits_for_others:
--- a/wharftiller/daemons/sessions/membership/snapshots.py
+++ b/wharftiller/daemons/sessions/membership/snapshots.py
@@ -43,7 +43,7 @@
         self._directory.replace_list(others)
         self._tombstones.replace(snapshot.tombstones)
         if not self.holds_this_process(snapshot):
-            self._directory.listed_since = None
+            self.record_unlisted(snapshot)
             return False
         leases = self._state.leases
         if self._directory.listed_since is None:
@@ -58,3 +58,15 @@
             )
         self._state.wake()
         return True
+
+    def record_unlisted(self, snapshot: PlatformSnapshot) -> None:
+        """Record that ``snapshot`` does not list this process; log what it lists instead."""
+        if self._directory.listed_since is None:
+            return
+        self._directory.listed_since = None
+        entry = snapshot.boxes.get(self._box.name)
+        self._state.log.change(
+            "box_unlisted",
+            entry=None if entry is None else entry.incarnation,
+            retired=None if entry is None else entry.retired,
+        )
