Remove an entry of the list of boxes only at its revision

Cause: a stopping process, and the box that removes another held for dead, deleted the entry by name. A call without an answer may be done seconds later; by then the entry may be that of the box's next process, or of the same one registered again. That process holds leases that the other boxes renew, and is not listed, so a failover neither asks it to release them nor waits.

Change: entries are deleted at the revision at which they were read or written, which a late call no longer finds. It holds for any order of the calls, since each registration writes a new revision. No further call and no wait.

Looked for on related paths: the removal of a box held for dead had the same cause and is mended by the same condition, with tests of its own.

--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -13,6 +13,8 @@
 from wharftiller.edges.http_server import HttpRequest, HttpResponse, serve_stream
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from standins.line_endpoints import LineGroup
     from wharftiller.edges.transport import Transport
 
@@ -54,6 +56,8 @@
     ----------
     lose_answers : int
         How many of the next changes take effect without a reply.
+    done_late_s : callable
+        Returns for a request after how many seconds it is done without a reply, None if at once.
     watches_suspended : bool
         Whether watches deliver nothing, as during compaction.
     list_delays : dict of str to float
@@ -73,6 +77,7 @@
         self.revision = 0
         self.mode = StoreMode.NORMAL
         self.lose_answers = 0
+        self.done_late_s: Callable[[HttpRequest], float | None] = lambda request: None
         self.watches_suspended = False
         self.list_delays: dict[str, float] = {}
         self.calls = 0
@@ -155,6 +160,11 @@
             return HttpResponse(503, {})
         if request.path == "/promotion":
             return await self._promote(request)
+        late_s = self.done_late_s(request)
+        if late_s is not None:
+            await trio.sleep(late_s)
+            await self._handle_objects(request)
+            await trio.sleep_forever()
         response = await self._handle_objects(request)
         response.headers["Store-Era"] = str(self.era)
         if request.method != "GET" and self.lose_answers:
@@ -192,8 +202,7 @@
             case ("PUT", [name]):
                 return self._replace(kind, name, request.json())
             case ("DELETE", [name]):
-                self.remove(kind, name)
-                return HttpResponse(200, {})
+                return self._delete(kind, name, request.query.get("Revision"))
             case _:
                 return HttpResponse(404, {})
 
@@ -215,6 +224,15 @@
             self.set(kind, name, value["spec"])
         return HttpResponse(200, self._objects[kind, name])
 
+    def _delete(self, kind: str, name: str, expected_revision: str | None) -> HttpResponse:
+        old = self._objects.get((kind, name))
+        if old is None:
+            return HttpResponse(404, {})
+        if expected_revision is not None and int(expected_revision) != old["meta"]["Revision"]:
+            return HttpResponse(409, old)
+        self.remove(kind, name)
+        return HttpResponse(200, {})
+
     async def _watch(self, kind: str, query: dict[str, str]) -> HttpResponse:
         since = int(query["Watch"])
         with trio.move_on_after(int(query.get("WaitMs", "0")) / 1000):
--- a/wharftiller/daemons/sessions/interfaces.py
+++ b/wharftiller/daemons/sessions/interfaces.py
@@ -131,8 +131,11 @@
         """Write a tombstone for ``box``."""
         ...
 
-    async def withdraw(self, box: Box) -> None:
-        """Remove ``box`` from the list."""
+    async def withdraw(self, box: Box) -> bool:
+        """Remove the entry ``box``; return False if another entry is in its place.
+
+        Never removes the entry of another process, also if it takes effect late.
+        """
         ...
 
     async def replace_record(self, record: LeadershipRecord) -> LeadershipRecord:
--- a/wharftiller/daemons/sessions/membership/retirement.py
+++ b/wharftiller/daemons/sessions/membership/retirement.py
@@ -89,8 +89,11 @@
 
     async def _remove(self, box: Box) -> None:
         try:
-            await self._shared.withdraw(box)
+            is_removed = await self._shared.withdraw(box)
         except PlatformUnavailableError as error:
             self._state.log.event("box_not_removed", other=box.name, why=str(error))
-        else:
+            return
+        if is_removed:
             self._state.log.change("box_removed", other=box.name)
+        else:
+            self._state.log.event("box_not_removed", other=box.name, why="it registered again")
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -225,6 +225,11 @@
         )
         self._unready = False
 
+    @property
+    def incarnation(self) -> str:
+        """Id of this process."""
+        return self._box.incarnation
+
     @property
     def is_ready(self) -> bool:
         """Whether this box should receive new sessions."""
@@ -292,7 +297,8 @@
         self._log.change("stopped", sessions=self.sessions.count)
         with trio.move_on_after(KILL_MARGIN_S / 2):
             try:
-                await self._shared.withdraw(self._box)
+                if not await self._shared.withdraw(self._box):
+                    self._log.event("not_withdrawn", why="its entry was replaced")
             except PlatformUnavailableError as error:
                 self._log.event("not_withdrawn", why=str(error))
         self._log.flush()
--- a/wharftiller/platform/objects.py
+++ b/wharftiller/platform/objects.py
@@ -275,13 +275,18 @@
 
 
 class SharedPlatformObjects:
-    """The list of boxes and the leadership record, stored as objects of one kind."""
+    """The list of boxes and the leadership record, stored as objects of one kind.
+
+    An entry of the list is removed only at the revision at which it was read or written. A call
+    that got no answer may take effect seconds later, when the box may run another process.
+    """
 
     def __init__(self, store: ObjectStore, log: DecisionLog) -> None:
         self._store = store
         self._log = log
         self._last: PlatformSnapshot | None = None
         self._is_unchanged = False
+        self._entry_revisions: dict[Box, int] = {}
 
     async def read(self) -> PlatformSnapshot:
         """Read the current snapshot.
@@ -303,6 +308,7 @@
     async def _read_all(self) -> PlatformSnapshot:
         objects, revision = await self._store.list_all(OWN_KIND)
         boxes: dict[str, Box] = {}
+        entry_revisions: dict[Box, int] = {}
         tombstones: dict[str, int] = {}
         record = LeadershipRecord(era=era_of(revision))
         for name, stored in objects.items():
@@ -312,9 +318,13 @@
                 box = self._decode_box(stored)
                 if box is not None:
                     boxes[box.name] = box
+                    entry_revisions[box] = stored.revision
                     if box.retired:
                         tombstones[box.name] = stored.revision
         revisions = {name: stored.revision for name, stored in objects.items()}
+        # What was written or read after this list was made stays known.
+        later = {box: at for box, at in self._entry_revisions.items() if at > revision}
+        self._entry_revisions = entry_revisions | later
         return PlatformSnapshot(record, boxes, revision, tombstones, revisions)
 
     def _decode_box(self, stored: StoredObject) -> Box | None:
@@ -342,7 +352,8 @@
         spec = attrs.asdict(box)
         stored = await self._store.put(OWN_KIND, name, spec, 0)
         if stored.spec != spec:
-            await self._store.put(OWN_KIND, name, spec, None)
+            stored = await self._store.put(OWN_KIND, name, spec, None)
+        self._entry_revisions[box] = stored.revision
 
     async def retire(self, box: Box, by: str) -> None:
         """Write a box's tombstone."""
@@ -350,9 +361,12 @@
             OWN_KIND, BOX_PREFIX + box.name, attrs.asdict(attrs.evolve(box, retired=by)), None
         )
 
-    async def withdraw(self, box: Box) -> None:
-        """Remove ``box`` from the list."""
-        await self._store.delete(OWN_KIND, BOX_PREFIX + box.name)
+    async def withdraw(self, box: Box) -> bool:
+        """Remove the entry ``box`` from the list; return False if another one is in its place."""
+        revision = self._entry_revisions.get(box)
+        if revision is None:
+            return False
+        return await self._store.delete(OWN_KIND, BOX_PREFIX + box.name, revision)
 
     async def replace_record(self, record: LeadershipRecord) -> LeadershipRecord:
         """Replace the record if it is at ``record.revision``; return the one then stored."""
--- a/wharftiller/platform/store.py
+++ b/wharftiller/platform/store.py
@@ -200,9 +200,17 @@
             raise PlatformUnavailableError(f"reading {path} was answered {answer.status}")
         return parse_object(answer.value, answer.era)
 
-    async def delete(self, kind: str, name: str) -> None:
-        """Delete an object; a missing one is no error."""
-        await self._call("DELETE", f"/v1/objects/{kind}/{name}")
+    async def delete(self, kind: str, name: str, revision: int) -> bool:
+        """Delete an object if it is at ``revision``; return whether it is gone."""
+        if era_of(revision) != self.era:
+            return False
+        path = f"/v1/objects/{kind}/{name}?Revision={revision % ERA_REVISIONS}"
+        answer = await self._call("DELETE", path)
+        if answer.status in (200, 204, 404):
+            return True
+        if answer.status == 409:
+            return False
+        raise PlatformUnavailableError(f"deleting {kind}/{name} was answered {answer.status}")
 
     async def watch(self, client: HttpClient, kind: str, revision: int) -> WatchedChanges | None:
         """Wait for changes after ``revision``; None if some are no longer available."""
--- /dev/null
+++ b/wharftiller/tests/platform/test_box_entries.py
@@ -0,0 +1,147 @@
+"""A box that holds a lease is in the platform's list, whatever is done late to its entry there."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import pytest
+import trio
+
+from wharftiller.edges.http_server import HttpRequest
+from wharftiller.tests.platform.test_stops import stop
+from wharftiller.tests.platform.world import (
+    STORE_IP,
+    BoxProcess,
+    World,
+    count_stale_reads,
+    make_group,
+    run_in_world,
+)
+
+KIND_PATH = "/v1/objects/wharftiller"
+ENTRY_PATH = f"{KIND_PATH}/box.box-3"
+"""Paths of all boxes' entries and of the entry of `box-3`."""
+
+RESTART_S = 1.0
+"""Time after which a stopped box starts again, in seconds."""
+
+SETTLED_S = 2.0
+"""Time after which a restarted box's leases are renewed by the other boxes, in seconds."""
+
+CHECK_S = 0.005
+"""Time between checks of the list of boxes, in seconds."""
+
+
+def holds_lease(box: BoxProcess) -> bool:
+    """Return whether a box's running process may use any primary now."""
+    proxy = box.process.proxy
+    if proxy is None or box.ended.is_set():
+        return False
+    now = trio.current_time()
+    return any(proxy.state.leases.lease(group, now) for group in proxy.state.leases.record.groups)
+
+
+def is_listed(world: World, box: BoxProcess) -> bool:
+    """Return whether the platform's list holds the running process of a box."""
+    entry = world.store.spec("wharftiller", f"box.{box.name}")
+    proxy = box.process.proxy
+    return proxy is not None and entry is not None and entry["incarnation"] == proxy.incarnation
+
+
+@asynccontextmanager
+async def every_lease_holder_is_listed(world: World) -> AsyncIterator[None]:
+    """Check all the while that the list names every process that holds a lease."""
+    unlisted: list[str] = []
+    started_at = trio.current_time()
+
+    async def check() -> None:
+        while True:
+            for box in world.boxes.values():
+                if holds_lease(box) and not is_listed(world, box):
+                    unlisted.append(f"{trio.current_time() - started_at:.2f} {box.name}")
+            await trio.sleep(CHECK_S)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(check)
+        yield
+        nursery.cancel_scope.cancel()
+    assert unlisted == []
+
+
+class LateCall:
+    """A rule by which one call of its kind, the first by default, is done late.
+
+    Attributes
+    ----------
+    arrived : trio.Event
+        Set when that call reaches the platform.
+    """
+
+    def __init__(self, method: str, path: str, late_s: float, number: int = 1) -> None:
+        self._kind = (method, path)
+        self._late_s = late_s
+        self._until_late = number
+        self.arrived = trio.Event()
+
+    def __call__(self, request: HttpRequest) -> float | None:
+        """Return after how many seconds ``request`` is done, None if at once."""
+        if (request.method, request.path) != self._kind:
+            return None
+        self._until_late -= 1
+        if self._until_late:
+            return None
+        self.arrived.set()
+        return self._late_s
+
+
+class TestLateWithdrawal:
+    """The withdrawal of a stopping process is done when its box may run the next one."""
+
+    @pytest.mark.parametrize("late_s", [0.9, 1.26, 1.262, 1.264, 1.27, 1.5, 3.0, 6.0])
+    def test_the_next_process_remains_listed(self, late_s: float) -> None:
+        async def scenario(world: World) -> None:
+            world.store.done_late_s = LateCall("DELETE", ENTRY_PATH, late_s)
+            async with every_lease_holder_is_listed(world):
+                await stop(world, world.boxes["box-3"])
+                await trio.sleep(RESTART_S)
+                box = await world.start_box(3, "c")
+                await trio.sleep(late_s + SETTLED_S)
+                assert holds_lease(box)
+
+        run_in_world(scenario, boxes=4)
+
+    def test_no_read_at_the_next_process_misses_a_write(self) -> None:
+        async def scenario(world: World) -> None:
+            group = world.groups[0]
+            late_s = RESTART_S + SETTLED_S
+            world.store.done_late_s = LateCall("DELETE", ENTRY_PATH, late_s)
+            await stop(world, world.boxes["box-3"])
+            await trio.sleep(RESTART_S)
+            box = await world.start_box(3, "c")
+            await trio.sleep(SETTLED_S)
+            group.primary.leaving = True
+            world.register(group.primary)
+            assert await count_stale_reads(box, world.boxes["box-1"], world, 4.0) == 0
+            assert group.primary.name != "seats-0"
+
+        run_in_world(scenario, boxes=4, groups=[make_group(lag_s=0.2)])
+
+
+class TestLateRemoval:
+    """The removal of a box that counted as dead is done after it has registered again."""
+
+    @pytest.mark.parametrize("late_s", [0.02, 0.3, 1.0, 3.0, 6.0])
+    def test_a_box_that_returns_remains_listed(self, late_s: float) -> None:
+        async def scenario(world: World) -> None:
+            box = world.boxes["box-3"]
+            removal = world.store.done_late_s = LateCall("DELETE", ENTRY_PATH, late_s)
+            others = [each.ip for each in world.boxes.values() if each is not box]
+            world.network.cut([box.ip], [*others, STORE_IP])
+            await removal.arrived.wait()
+            world.network.heal()
+            async with every_lease_holder_is_listed(world):
+                await trio.sleep(late_s + SETTLED_S)
+                assert holds_lease(box)
+
+        run_in_world(scenario, boxes=4)
--- a/wharftiller/tests/platform/world.py
+++ b/wharftiller/tests/platform/world.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
@@ -315,6 +316,39 @@
     return trio.current_time() - started
 
 
+async def count_stale_reads(
+    reader: BoxProcess, writer: BoxProcess, world: World, for_s: float
+) -> int:
+    """Return how many primary reads at ``reader`` missed a write acknowledged by ``writer``."""
+    until = trio.current_time() + for_s
+    acknowledged = stale = 0
+
+    async def write() -> None:
+        nonlocal acknowledged
+        caller = await world.open_session(writer, "primary")
+        for number in itertools.count(1):
+            if trio.current_time() >= until:
+                return
+            if (await caller.execute(f"WRITE counter {number}"))[0] == "ROW written":
+                acknowledged = number
+            await trio.sleep(0.02)
+
+    async def read() -> None:
+        nonlocal stale
+        caller = await world.open_session(reader, "primary")
+        while trio.current_time() < until:
+            expected = acknowledged
+            answer = (await caller.execute("READ counter"))[0]
+            if answer.startswith("ROW ") and answer != "ROW none":
+                stale += int(answer.split(" ")[1]) < expected
+            await trio.sleep(0.02)
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(write)
+        nursery.start_soon(read)
+    return stale
+
+
 def fences_never_decrease(world: World) -> bool:
     """Return whether the fences of promotions never decrease."""
     fences = [fence for group in world.groups for _, _, fence in group.promotions]
