Write an entry of the list of boxes only over the one that was read

Cause: a registration over a former process's entry, and a tombstone for an unresponsive process, were written by name. Done seconds late they put a process that has ended in the place of the one that runs there now. It then holds leases under another's entry until its next own read.

Change: both writes carry the revision of the entry that was read or met. A registration that is overtaken tries again, three times at most; normally it makes the same two calls as before.

Evidence: 8 new tests play such a call late, at 0.3 to 6 s, and compare the list with the holders of leases every 5 ms. All 8 failed before (the holder was not listed from the moment of the late call on) and pass now.

--- a/wharftiller/daemons/sessions/interfaces.py
+++ b/wharftiller/daemons/sessions/interfaces.py
@@ -116,7 +116,7 @@
     """The leadership record and the list of boxes on the platform.
 
     Every method raises `PlatformUnavailableError` if no answer came; a change may still
-    take effect then.
+    take effect then. A late one never changes the entry of a later process of a box.
     """
 
     async def read(self) -> PlatformSnapshot:
@@ -127,15 +127,12 @@
         """Add ``box`` to the list, or replace the entry of its former process."""
         ...
 
-    async def retire(self, box: Box, by: str) -> None:
-        """Write a tombstone for ``box``."""
+    async def retire(self, box: Box, by: str) -> bool:
+        """Write a tombstone over the entry ``box``; return False if another is in its place."""
         ...
 
     async def withdraw(self, box: Box) -> bool:
-        """Remove the entry ``box``; return False if another entry is in its place.
-
-        Never removes the entry of another process, also if it takes effect late.
-        """
+        """Remove the entry ``box``; return False if another one is in its place."""
         ...
 
     async def replace_record(self, record: LeadershipRecord) -> LeadershipRecord:
--- a/wharftiller/daemons/sessions/membership/retirement.py
+++ b/wharftiller/daemons/sessions/membership/retirement.py
@@ -81,11 +81,14 @@
 
     async def _retire(self, box: Box) -> None:
         try:
-            await self._shared.retire(box, self._directory.incarnation)
+            is_marked = await self._shared.retire(box, self._directory.incarnation)
         except PlatformUnavailableError as error:
             self._state.log.event("box_not_marked", other=box.name, why=str(error))
-        else:
+            return
+        if is_marked:
             self._state.log.change("box_marked_dead", other=box.name)
+        else:
+            self._state.log.event("box_not_marked", other=box.name, why="its entry changed")
 
     async def _remove(self, box: Box) -> None:
         try:
@@ -96,4 +99,4 @@
         if is_removed:
             self._state.log.change("box_removed", other=box.name)
         else:
-            self._state.log.event("box_not_removed", other=box.name, why="it registered again")
+            self._state.log.event("box_not_removed", other=box.name, why="its entry changed")
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -298,7 +298,7 @@
         with trio.move_on_after(KILL_MARGIN_S / 2):
             try:
                 if not await self._shared.withdraw(self._box):
-                    self._log.event("not_withdrawn", why="its entry was replaced")
+                    self._log.event("not_withdrawn", why="its entry changed")
             except PlatformUnavailableError as error:
                 self._log.event("not_withdrawn", why=str(error))
         self._log.flush()
--- a/wharftiller/platform/objects.py
+++ b/wharftiller/platform/objects.py
@@ -72,6 +72,9 @@
 """Sorts after the names of all boxes' objects and before the leadership record's: lists are sorted
 by name."""
 
+MAX_REGISTRATION_ATTEMPTS = 3
+"""Attempts to replace an entry that other boxes change at the same time."""
+
 DEFAULT_TIMEOUT_MS = 2_000
 """Statement timeout of a route that sets none, in milliseconds: the time that callers wait for a
 session to open."""
@@ -277,7 +280,7 @@
 class SharedPlatformObjects:
     """The list of boxes and the leadership record, stored as objects of one kind.
 
-    An entry of the list is removed only at the revision at which it was read or written. A call
+    An entry of the list is changed only at the revision at which it was read or written. A call
     that got no answer may take effect seconds later, when the box may run another process.
     """
 
@@ -347,20 +350,29 @@
         return attrs.evolve(record, is_confirmed=is_confirmed, era=era)
 
     async def register(self, box: Box) -> None:
-        """Add ``box`` to the list, or replace the entry of its former process."""
-        name = BOX_PREFIX + box.name
-        spec = attrs.asdict(box)
-        stored = await self._store.put(OWN_KIND, name, spec, 0)
-        if stored.spec != spec:
-            stored = await self._store.put(OWN_KIND, name, spec, None)
-        self._entry_revisions[box] = stored.revision
-
-    async def retire(self, box: Box, by: str) -> None:
-        """Write a box's tombstone."""
-        await self._store.put(
-            OWN_KIND, BOX_PREFIX + box.name, attrs.asdict(attrs.evolve(box, retired=by)), None
+        """Add ``box`` to the list, or replace the entry that stands in its place."""
+        name, spec = BOX_PREFIX + box.name, attrs.asdict(box)
+        for _ in range(MAX_REGISTRATION_ATTEMPTS):
+            stored = await self._store.put(OWN_KIND, name, spec, 0)
+            if stored.spec != spec:
+                stored = await self._store.put(OWN_KIND, name, spec, stored.revision)
+            if stored.spec == spec:
+                self._entry_revisions[box] = stored.revision
+                return
+        raise PlatformUnavailableError(
+            f"the entry of {box.name} changed {MAX_REGISTRATION_ATTEMPTS} times while it was "
+            "replaced; the next read tries again"
         )
 
+    async def retire(self, box: Box, by: str) -> bool:
+        """Write a tombstone over the entry ``box``; return False if another is in its place."""
+        revision = self._entry_revisions.get(box)
+        if revision is None:
+            return False
+        spec = attrs.asdict(attrs.evolve(box, retired=by))
+        stored = await self._store.put(OWN_KIND, BOX_PREFIX + box.name, spec, revision)
+        return bool(stored.spec == spec)
+
     async def withdraw(self, box: Box) -> bool:
         """Remove the entry ``box`` from the list; return False if another one is in its place."""
         revision = self._entry_revisions.get(box)
--- a/wharftiller/tests/platform/test_box_entries.py
+++ b/wharftiller/tests/platform/test_box_entries.py
@@ -145,3 +145,43 @@
                 assert holds_lease(box)
 
         run_in_world(scenario, boxes=4)
+
+
+class TestLateTombstone:
+    """The tombstone of an unresponsive process is written when its box runs the next one."""
+
+    @pytest.mark.parametrize("late_s", [0.3, 1.0, 3.0, 6.0])
+    def test_the_next_process_remains_listed(self, late_s: float) -> None:
+        async def scenario(world: World) -> None:
+            box = world.boxes["box-3"]
+            tombstone = world.store.done_late_s = LateCall("PUT", ENTRY_PATH, late_s)
+            others = [each.ip for each in world.boxes.values() if each is not box]
+            world.network.cut([box.ip], [*others, STORE_IP])
+            await tombstone.arrived.wait()
+            await world.kill_box(box)
+            world.network.heal()
+            async with every_lease_holder_is_listed(world):
+                box = await world.start_box(3, "c")
+                await trio.sleep(late_s + SETTLED_S)
+                assert holds_lease(box)
+
+        run_in_world(scenario, boxes=4)
+
+
+class TestLateRegistration:
+    """The registration of a process that was killed is done when its box runs the next one."""
+
+    @pytest.mark.parametrize("late_s", [0.4, 1.0, 3.0, 6.0])
+    def test_the_next_process_remains_listed(self, late_s: float) -> None:
+        async def scenario(world: World) -> None:
+            await world.kill_box(world.boxes["box-3"])
+            registration = world.store.done_late_s = LateCall("PUT", ENTRY_PATH, late_s)
+            box = await world.start_box(3, "c")
+            await registration.arrived.wait()
+            async with every_lease_holder_is_listed(world):
+                await world.kill_box(box)
+                box = await world.start_box(3, "c")
+                await trio.sleep(late_s + SETTLED_S)
+                assert holds_lease(box)
+
+        run_in_world(scenario, boxes=4)
