Claim to be listed only while the entry cannot have been removed

Cause: a box counted the time for which it has been listed from the first read that showed its entry, and noticed a removal only at its next read. A box cut off from the platform is removed after some 25 s and claimed its whole time all the same. A failover trusts that claim to go on beside boxes that do not answer (`lease_waited_out`), and a tombstoned box is held for dead by it.

Change: the claim is 0 once the newest read that showed the entry is 18 s old; an entry is removed 19 s after such a read at the earliest.

--- a/wharftiller/daemons/sessions/membership/boxes.py
+++ b/wharftiller/daemons/sessions/membership/boxes.py
@@ -16,7 +16,7 @@
 
 from wharftiller.core.errors import BadRequestError, ExchangeError
 from wharftiller.core.leadership.failover import takeover_rank
-from wharftiller.core.leadership.lease import RenewalReply
+from wharftiller.core.leadership.lease import LEASE_S, MAX_BOX_LIST_AGE_S, RenewalReply
 from wharftiller.core.rendezvous import ranked
 from wharftiller.core.sessions.probe_outcomes import ProbeOutcome
 from wharftiller.core.sessions.state_versions import StateVersions
@@ -85,6 +85,8 @@
         Every box; replaced whenever it changes.
     listed_since : float or None
         When this process first read its own entry in the list of boxes, in seconds.
+    listed_at : float
+        When the newest read that showed the entry was requested, in seconds.
     queried_at : float
         When other boxes were last queried, in seconds.
     platform_answers : bool
@@ -104,6 +106,7 @@
         self._replies: dict[str, BoxReply] = {}
         self._responding: set[str] = set()
         self.listed_since: float | None = None
+        self.listed_at = -math.inf
         self.queried_at = -math.inf
         self.platform_answers = False
         self.platform_read_at = -math.inf
@@ -323,8 +326,14 @@
         return client
 
     def listed_s(self, now: float) -> float:
-        """Return how long this process has been listed, in seconds."""
-        return 0.0 if self.listed_since is None else now - self.listed_since
+        """Return for how long this process has certainly been listed until now, in seconds.
+
+        An entry is removed at the earliest `TOMBSTONE_S` after a read showed it without a
+        tombstone, so 0 is returned once the newest such read is about that old.
+        """
+        if self.listed_since is None or now - self.listed_at > MAX_BOX_LIST_AGE_S + LEASE_S:
+            return 0.0
+        return now - self.listed_since
 
     async def request_release(self, box: Box, record: LeadershipRecord) -> float | None:
         """Request that a box releases its leases on the primaries being replaced.
--- a/wharftiller/daemons/sessions/membership/snapshots.py
+++ b/wharftiller/daemons/sessions/membership/snapshots.py
@@ -48,6 +48,7 @@
         leases = self._state.leases
         if self._directory.listed_since is None:
             self._directory.listed_since = asked_at
+        self._directory.listed_at = max(self._directory.listed_at, asked_at)
         before = leases.record.revision
         # The record first: it may show that the list was restored from a backup and lacks boxes.
         leases.read(snapshot.record, asked_at)
--- a/wharftiller/tests/platform/test_box_entries.py
+++ b/wharftiller/tests/platform/test_box_entries.py
@@ -8,6 +8,9 @@
 import pytest
 import trio
 
+from standins.object_store import StoreMode
+from wharftiller.core.leadership.lease import LEASE_S, MAX_BOX_LIST_AGE_S
+from wharftiller.daemons.sessions.membership.retirement import TOMBSTONE_S
 from wharftiller.edges.http_server import HttpRequest
 from wharftiller.tests.platform.test_stops import GRACE_S, stop
 from wharftiller.tests.platform.world import (
@@ -42,6 +45,18 @@
     return any(proxy.state.leases.lease(group, now) for group in proxy.state.leases.record.groups)
 
 
+def reads_for_others(box: BoxProcess) -> bool:
+    """Return whether a box reads the platform for the others."""
+    proxy = box.process.proxy
+    return proxy is not None and proxy._reads.reads_for_others
+
+
+def listed_s(box: BoxProcess) -> float:
+    """Return for how long a box claims to have been listed, in seconds."""
+    assert box.process.proxy is not None
+    return box.process.proxy._directory.listed_s(trio.current_time())
+
+
 def is_listed(world: World, box: BoxProcess) -> bool:
     """Return whether the platform's list holds the running process of a box."""
     entry = world.store.spec("wharftiller", f"box.{box.name}")
@@ -218,3 +233,32 @@
                 assert holds_lease(box)
 
         run_in_world(scenario, boxes=4)
+
+
+class TestMembership:
+    """Others count on the time for which a box has been listed without a break."""
+
+    def test_a_box_that_may_have_been_removed_claims_none(self) -> None:
+        async def scenario(world: World) -> None:
+            box = world.boxes["box-3"]
+            reading = next(each for each in world.boxes.values() if reads_for_others(each))
+            others = [each for each in world.boxes.values() if each not in (box, reading)]
+            world.network.cut([box.ip], [reading.ip, STORE_IP])
+            removal = world.store.done_late_s = LateCall("DELETE", ENTRY_PATH, 0.0)
+            await removal.arrived.wait()
+            await trio.sleep(0.01)
+            assert not is_listed(world, box)
+            assert listed_s(box) == 0.0
+            assert all(listed_s(each) > MAX_BOX_LIST_AGE_S + LEASE_S for each in others)
+
+        run_in_world(scenario, boxes=5)
+
+    def test_a_box_keeps_its_time_through_an_outage_of_the_platform(self) -> None:
+        async def scenario(world: World) -> None:
+            world.store.mode = StoreMode.UNAVAILABLE
+            await trio.sleep(TOMBSTONE_S + 5.0)
+            world.store.mode = StoreMode.NORMAL
+            await trio.sleep(SETTLED_S)
+            assert all(listed_s(each) > TOMBSTONE_S for each in world.boxes.values())
+
+        run_in_world(scenario)
