Count the wait before a box is removed from its newest tombstone

Cause: the wait of 19 s counted from the first read that showed the same text. Two tombstones that one box sets for one process are equal; a box that reads the first, then nothing for a while, and then the second removed the entry at once, though the process may have registered and got leases in between.

Change: the wait counts from the first read of the tombstone's revision, which is kept already for failovers. A box is removed as soon as before otherwise.

Evidence: test_the_wait_begins_anew_with_each_tombstone removed the box at the first read of the second tombstone before, and 19 s after it now.

--- a/wharftiller/daemons/sessions/membership/retirement.py
+++ b/wharftiller/daemons/sessions/membership/retirement.py
@@ -22,6 +22,7 @@
     from wharftiller.daemons.sessions.membership.box import Box
     from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
     from wharftiller.daemons.sessions.membership.readers import SnapshotClient, SnapshotServer
+    from wharftiller.daemons.sessions.membership.tombstones import Tombstones
     from wharftiller.daemons.sessions.state import SharedState
 
 SILENT_S = 5.0
@@ -44,6 +45,7 @@
         shared: SharedObjects,
         snapshot_server: SnapshotServer,
         readers: SnapshotClient,
+        tombstones: Tombstones,
         nursery: trio.Nursery,
     ) -> None:
         self._state = state
@@ -51,11 +53,15 @@
         self._snapshot_server = snapshot_server
         self._readers = readers
         self._shared = shared
+        self._tombstones = tombstones
         self._nursery = nursery
         self._silent_since: dict[Box, float] = {}
 
     def update(self, boxes: dict[str, Box], now: float) -> None:
-        """Tombstone or remove boxes of the list read from the platform at ``now`` (seconds)."""
+        """Tombstone or remove boxes of the list read from the platform at ``now`` (seconds).
+
+        The list's tombstones have been recorded before.
+        """
         silent = [box for name, box in boxes.items() if self._is_silent(box, now)]
         self._silent_since = {box: self._silent_since.get(box, now) for box in silent}
         if not self._is_reader():
@@ -63,7 +69,7 @@
         for box, since in self._silent_since.items():
             if not box.retired and now - since > SILENT_S:
                 self._nursery.start_soon(self._retire, box)
-            elif box.retired and now - since > TOMBSTONE_S:
+            elif box.retired and self._tombstones.age_s(box.name, now) > TOMBSTONE_S:
                 self._nursery.start_soon(self._remove, box)
 
     def _is_silent(self, box: Box, now: float) -> bool:
--- a/wharftiller/daemons/sessions/membership/shared_reads.py
+++ b/wharftiller/daemons/sessions/membership/shared_reads.py
@@ -148,9 +148,9 @@
             return
         self._set_platform_answers(True)
         self._snapshot_server.store(snapshot, asked_at)
-        self._retirement.update(self._snapshot_applier.other_boxes(snapshot), asked_at)
         was_unlisted = self._directory.listed_since is None
         self._snapshot_applier.apply(snapshot, asked_at)
+        self._retirement.update(self._snapshot_applier.other_boxes(snapshot), asked_at)
         if was_unlisted and self._readers.applies:
             # Ask the reader at once: its state is needed before it lists this box.
             self._state.check_soon.set()
--- a/wharftiller/daemons/sessions/membership/tombstones.py
+++ b/wharftiller/daemons/sessions/membership/tombstones.py
@@ -48,6 +48,11 @@
             for name, revision in tombstones.items()
         }
 
+    def age_s(self, box: str, now: float) -> float:
+        """Return how long ago this box first read the current tombstone; 0 if there is none."""
+        tombstone = self._tombstones.get(box)
+        return 0.0 if tombstone is None else now - tombstone.read_at
+
     def record_renewal(self, box: str) -> None:
         """Record that this box answers a renewal of ``box`` now."""
         self._renewal_answered_at[box] = trio.current_time()
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -215,7 +215,13 @@
             snapshot_client,
             snapshot_server,
             BoxRetirement(
-                self.state, self._directory, shared, snapshot_server, snapshot_client, nursery
+                self.state,
+                self._directory,
+                shared,
+                snapshot_server,
+                snapshot_client,
+                tombstones,
+                nursery,
             ),
             self._lease_renewer,
             self._peer_sync,
