Renew no lease by replies once a read showed that the box is not listed

Cause: a read of the platform that shows no entry of this process renewed no lease itself, but the other boxes' replies went on doing so until the last list with the entry was 12 s old. A box that cannot register again just then held leases for up to 18 s while no failover asked it to release them.

Change: such a read ends renewals by replies until a read shows the entry again. A tombstone of the process does not end them: failovers allow for these.

Cost: none where the box can register, as it does so at once; else its callers are refused when the lease ends, at most 6 s after its last renewal.

Evidence: the new test removes an entry by hand and loses the registrations: the box still held its lease 6 s after it had read of the removal before; not now. wharftiller/tests/platform/test_restored_platform.py and test_lease.py pass.

--- a/wharftiller/core/leadership/lease.py
+++ b/wharftiller/core/leadership/lease.py
@@ -127,7 +127,8 @@
     read_from_platform : bool
         Whether the record was read from the platform since this process started.
     boxes, boxes_listed_at : frozenset of str, float
-        The other boxes listed in the platform, and when the list was requested.
+        The other boxes listed in the platform, and when the newest list that names this box too
+        was requested.
     """
 
     record: LeadershipRecord = attrs.field(factory=LeadershipRecord)
@@ -273,6 +274,10 @@
         self.boxes = frozenset(boxes) | kept
         self.boxes_listed_at = max(self.boxes_listed_at, asked_at)
 
+    def forget_boxes(self) -> None:
+        """Renew no lease by replies of other boxes until the list is read again."""
+        self.boxes_listed_at = -math.inf
+
     def apply_renewal(self, answers: Iterable[RenewalReply], asked_at: float) -> bool:
         """Update from the replies to a renewal request; return whether they renewed the leases."""
         answered: set[str] = set()
--- a/wharftiller/daemons/sessions/membership/snapshots.py
+++ b/wharftiller/daemons/sessions/membership/snapshots.py
@@ -62,10 +62,13 @@
 
     def record_unlisted(self, snapshot: PlatformSnapshot) -> None:
         """Record that ``snapshot`` does not list this process; log what it lists instead."""
+        entry = snapshot.boxes.get(self._box.name)
+        if entry is None or entry.incarnation != self._box.incarnation:
+            # A failover would not ask this process to release its leases.
+            self._state.leases.forget_boxes()
         if self._directory.listed_since is None:
             return
         self._directory.listed_since = None
-        entry = snapshot.boxes.get(self._box.name)
         self._state.log.change(
             "box_unlisted",
             entry=None if entry is None else entry.incarnation,
--- a/wharftiller/tests/platform/test_box_entries.py
+++ b/wharftiller/tests/platform/test_box_entries.py
@@ -262,3 +262,15 @@
             assert all(listed_s(each) > TOMBSTONE_S for each in world.boxes.values())
 
         run_in_world(scenario)
+
+    def test_a_box_that_knows_of_its_removal_renews_no_lease(self) -> None:
+        async def scenario(world: World) -> None:
+            box = world.boxes["box-3"]
+            world.store.done_late_s = lambda request: 60.0 if request.method == "POST" else None
+            world.store.remove("wharftiller", "box.box-3")
+            while listed_s(box):
+                await trio.sleep(CHECK_S)
+            await trio.sleep(LEASE_S)
+            assert not holds_lease(box)
+
+        run_in_world(scenario)
