Ask leaving replicas for what they hold, and promote one that alone holds it

Callers saw: with SyncReplicas 1, some 40 acknowledged commits gone after a primary crashed while one replica received nothing and the other was draining (LOST); before that, 5.5 s without service.

Cause: the replicas that are asked for their logs after all boxes have stopped were those that may succeed for long, without leaving ones. A leaving replica receives and counts for an acknowledgement until it ends. It was counted as not answering while it lived, and not at all once it had gone.

Change: every replica of the group is asked. The one with the most is promoted, of equal ones one that stays; a leaving one hands over again. Where replicas are synchronous, a planned failover begins only when a replica keeps up with the primary, as the group would stand still till the end of the old one otherwise. Checks for a complete replica are 0.5 s apart (INCOMPLETE_RETRY_S).

--- a/wharftiller/core/leadership/failover.py
+++ b/wharftiller/core/leadership/failover.py
@@ -67,16 +67,27 @@
 
 @attrs.frozen
 class Candidate:
-    """A replica that could take over, with its last reported log position."""
+    """A replica that could take over, with its last reported log position.
+
+    Attributes
+    ----------
+    is_leaving : bool
+        Whether it is about to end, and must hand over soon.
+    """
 
     name: str
     received: LogPosition
     data_centre: str
+    is_leaving: bool = False
 
 
 def best_candidate(candidates: Iterable[Candidate]) -> Candidate | None:
-    """Return the candidate with the highest log position; ties go by name."""
-    return max(candidates, key=lambda each: (each.received, each.name), default=None)
+    """Return the candidate with the highest log position; of equal ones, one that stays."""
+    return max(
+        candidates,
+        key=lambda each: (each.received, not each.is_leaving, each.name),
+        default=None,
+    )
 
 
 def must_hand_over(row: EndpointRow, rank: int, now: float) -> bool:
--- a/wharftiller/daemons/sessions/leadership/failover_monitor.py
+++ b/wharftiller/daemons/sessions/leadership/failover_monitor.py
@@ -188,7 +188,7 @@
         rank = self._rank(group)
         planned = row is not None and must_hand_over(row, rank, now)
         if planned:
-            best = best_candidate(await self._successors.candidates(group, leading.endpoint))
+            best = await self._successors.planned_successor(group, leading.endpoint)
         elif is_lost(row, rank, now) and not self._was_reachable_elsewhere(group, now):
             best = await self._successor_of_lost(group, leading.endpoint, rank)
         else:
--- a/wharftiller/daemons/sessions/leadership/failover_runner.py
+++ b/wharftiller/daemons/sessions/leadership/failover_runner.py
@@ -47,6 +47,9 @@
 Where every box releases its lease at once, the probe made meanwhile is enough.
 """
 
+INCOMPLETE_RETRY_S = 0.5
+"""Time between checks whether some endpoint holds every acknowledged write, in seconds."""
+
 MAX_RECORD_ATTEMPTS = 5
 """Attempts to record a finished failover before it is left to the next check."""
 
@@ -115,7 +118,10 @@
         if await self._cancel_answering(record, answering):
             return False
         ready = await self._with_ordered_successors(record)
-        return ready is not None and await self._writer.write(ready)
+        if ready is None:
+            await trio.sleep(INCOMPLETE_RETRY_S)
+            return False
+        return await self._writer.write(ready)
 
     async def _cancel_answering(self, record: LeadershipRecord, answering: set[str]) -> bool:
         """Cancel the failovers of the groups ``answering``; return whether there are any."""
--- a/wharftiller/daemons/sessions/leadership/successors.py
+++ b/wharftiller/daemons/sessions/leadership/successors.py
@@ -30,6 +30,11 @@
 """Time within which an acknowledged promotion takes effect, in seconds."""
 
 
+def _candidate(row: EndpointRow, status: EndpointStatus) -> Candidate:
+    is_leaving = row.leaving_since is not None
+    return Candidate(row.name, status.received, row.entry.data_centre, is_leaving)
+
+
 class SuccessorFinder:
     """Queries endpoints for their log positions and whether they lead."""
 
@@ -56,10 +61,7 @@
             for row in self._state.endpoints.of_group(group)
             if row.name != old and row.leaving_since is None
         ]
-        return [
-            Candidate(row.name, status.received, row.entry.data_centre)
-            for row, status in await self._query_all(replicas)
-        ]
+        return [_candidate(row, status) for row, status in await self._query_all(replicas)]
 
     async def statuses(self, group: str) -> dict[str, EndpointStatus]:
         """Query the registered endpoints of ``group``; return the status of those that answer."""
@@ -97,10 +99,11 @@
         """Return the replica that holds every acknowledged write; None if that is not certain.
 
         Must be called once every box has stopped using ``old``. An acknowledged write is on
-        some unknown replica, so all of them must answer.
+        some unknown replica, so all of them must answer. A leaving replica is queried like the
+        others, and chosen if it alone holds most.
         """
         replicas = [row for row in self._state.endpoints.of_group(group) if row.name != old]
-        found = await self._query_replicas(group, old)
+        found = [_candidate(row, status) for row, status in await self._query_all(replicas)]
         best = best_candidate(found)
         unresponsive = {row.name for row in replicas} - {each.name for each in found}
         if best is None or unresponsive:
@@ -108,6 +111,21 @@
             return None
         return best.name
 
+    async def planned_successor(self, group: str, old: str) -> Candidate | None:
+        """Return the replica to which a responsive primary hands over; None if there is none yet.
+
+        Where replicas are synchronous it must keep up with the primary: the group would stand
+        still while it waits for one that does not.
+        """
+        row = self._state.endpoints.rows.get(old)
+        if not self.has_sync_replicas(group) or row is None:
+            return best_candidate(await self.candidates(group, old))
+        at_old = await self.status(row)
+        if at_old is None:
+            return None
+        candidates = await self.candidates(group, old)
+        return best_candidate(each for each in candidates if each.received >= at_old.received)
+
     async def wait_caught_up(self, failover: FailingOver) -> bool:
         """Wait until the successor has received everything that the old primary holds.
 
--- /dev/null
+++ b/wharftiller/tests/platform/test_synchronous_replicas.py
@@ -0,0 +1,163 @@
+"""No promotion loses an acknowledged write, where replicas are synchronous.
+
+Each test begins with writes that are on the primary and on one replica alone, as the other one
+receives nothing.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import pytest
+import trio
+
+from wharftiller.tests.platform.world import (
+    World,
+    make_group,
+    run_in_world,
+    write_until_acknowledged,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from standins.line_endpoints import LineServer
+
+WRITES = 20
+"""Writes that are acknowledged before the primary fails."""
+
+DRAIN_S = 7.0
+"""Time for which a leaving server serves on, in seconds."""
+
+CRASH_S = 7.0
+"""Time after which a crashed primary returns with its log, in seconds."""
+
+FAILOVER_S = 4.0
+"""Maximum time without writes where a complete replica is known, in seconds."""
+
+
+def run_with_synchronous_replicas(scenario: Callable[[World], Awaitable[None]]) -> None:
+    """Run a scenario with a group whose writes need one replica."""
+    run_in_world(scenario, groups=[make_group(sync_replicas=1)], boxes=4)
+
+
+async def write_seats(world: World, first: int = 0) -> set[str]:
+    """Have writes acknowledged; return the seats written."""
+    caller = await world.open_session(world.boxes["box-1"], "primary")
+    seats = {f"seat{first + number}" for number in range(WRITES)}
+    for seat in sorted(seats):
+        assert (await caller.execute(f"WRITE {seat} anna"))[0] == "ROW written"
+    caller.close()
+    return seats
+
+
+def seats_of(server: LineServer) -> set[str]:
+    """Return the seats that a server's log holds."""
+    return {key for record in server.log for key, _ in record.writes}
+
+
+def start_leaving(world: World, server: LineServer) -> None:
+    """Announce that a server is about to end."""
+    server.leaving = True
+    world.register(server)
+
+
+def end_server(world: World, server: LineServer) -> None:
+    """End a server that was leaving, and remove its entry."""
+    world.store.remove("servers", server.name)
+    server.down = True
+    world.network.kill(server.address.partition(":")[0])
+
+
+async def wait_until(condition: Callable[[], bool], within_s: float) -> None:
+    """Wait until ``condition`` holds; fails if it does not within ``within_s`` seconds."""
+    with trio.fail_after(within_s):
+        while not condition():
+            await trio.sleep(0.001)
+
+
+async def seconds_until_writable(world: World, within_s: float) -> float:
+    """Return after how long a write is acknowledged."""
+    caller = await world.open_session(world.boxes["box-1"], "primary")
+    return await write_until_acknowledged(caller, "WRITE last vera", within_s)
+
+
+class TestLeavingReplica:
+    """The replica that holds all writes is about to end when the primary crashes."""
+
+    def test_it_is_promoted_and_hands_over_before_it_ends(self) -> None:
+        async def scenario(world: World) -> None:
+            group = world.groups[0]
+            old, leaving, other = group.servers
+            other.replication_suspended = True
+            seats = await write_seats(world)
+            start_leaving(world, leaving)
+            leaving_at = trio.current_time()
+            world.kill_server(old)
+            await wait_until(lambda: leaving.leads, FAILOVER_S)
+            assert seats <= seats_of(leaving)
+            await trio.sleep(1.0)
+            caller = await world.open_session(world.boxes["box-1"], "primary")
+            assert (await caller.execute("READ seat0"))[0] == "ROW anna"
+            other.replication_suspended = False
+            assert await seconds_until_writable(world, 2.0) < 2.0
+            await trio.sleep_until(leaving_at + DRAIN_S)
+            assert group.primary is other
+            assert seats <= seats_of(other)
+
+        run_with_synchronous_replicas(scenario)
+
+    @pytest.mark.parametrize("number", [1, 2])
+    def test_the_other_replica_is_preferred_if_it_holds_as_much(self, number: int) -> None:
+        async def scenario(world: World) -> None:
+            group = world.groups[0]
+            old, leaving, other = group.servers[0], group.servers[number], group.servers[3 - number]
+            await write_seats(world)
+            await trio.sleep(0.2)
+            start_leaving(world, leaving)
+            world.kill_server(old)
+            assert await seconds_until_writable(world, 8.0) < FAILOVER_S
+            assert [name for name, _, _ in group.promotions] == [other.name]
+
+        run_with_synchronous_replicas(scenario)
+
+    @pytest.mark.parametrize("ended_s", [0.0, 0.3, 1.0, 5.0, 20.0])
+    def test_a_replica_that_kept_up_is_promoted_after_it_has_ended(self, ended_s: float) -> None:
+        async def scenario(world: World) -> None:
+            group = world.groups[0]
+            old, leaving, other = group.servers
+            start_leaving(world, leaving)
+            seats = await write_seats(world)
+            await trio.sleep(DRAIN_S)
+            end_server(world, leaving)
+            await trio.sleep(ended_s)
+            world.kill_server(old)
+            await wait_until(lambda: other.leads, FAILOVER_S)
+            assert seats <= seats_of(other)
+
+        run_with_synchronous_replicas(scenario)
+
+
+class TestBoxesFailing:
+    """The boxes that acknowledged the writes are gone when the primary crashes."""
+
+    @pytest.mark.parametrize("killed", [("box-1",), ("box-1", "box-2", "box-3", "box-4")])
+    def test_no_write_is_lost(self, killed: tuple[str, ...]) -> None:
+        async def scenario(world: World) -> None:
+            group = world.groups[0]
+            old, leaving, other = group.servers
+            other.replication_suspended = True
+            seats = await write_seats(world)
+            start_leaving(world, leaving)
+            await trio.sleep(DRAIN_S - 3.0)
+            world.kill_server(old)
+            for name in killed:
+                await world.kill_box(world.boxes[name])
+            await trio.sleep(1.0)
+            for name in killed:
+                await world.start_box(int(name[-1]))
+            await wait_until(lambda: leaving.leads, 2 * FAILOVER_S)
+            assert seats <= seats_of(leaving)
+            assert not other.leads
+
+        run_with_synchronous_replicas(scenario)
