Promote a synchronous replica only with evidence that it lacks nothing

Cause: only endpoints registered at the moment of the failover were asked for their logs; one whose entry had gone counted for nothing.

Either all endpoints that may hold a commit have reported; one that departed counts until the log reaches a position of the primary from after its end. Or the log reaches the newest position that any box acknowledged, which each box tells as it releases its leases, provided that all processes that ran since have told.

Why it works: an acknowledgement is given by a process that tells, or by one that ended before a known position of the primary; so the second bound covers all acknowledged commits, whoever holds them. It also ends waits for a silent replica. The only bound on waiting is the return of the primary or the replica: nothing else can show that no commit is lost.

--- a/wharftiller/daemons/sessions/connections/probes.py
+++ b/wharftiller/daemons/sessions/connections/probes.py
@@ -166,6 +166,8 @@
                 pool.drop_idle()
                 status = await self._fetch_status(row)
             row.record_contact(trio.current_time())
+            if status is not None and status.leads and self._state.may_acknowledge(row):
+                self._state.positions.learn(row.entry.group, status.received, started)
             return status
         row.record_unreachable(started)
         pool.drop_idle()
--- a/wharftiller/daemons/sessions/leadership/failover_runner.py
+++ b/wharftiller/daemons/sessions/leadership/failover_runner.py
@@ -8,6 +8,7 @@
 import trio
 
 from wharftiller.core.errors import PlatformUnavailableError
+from wharftiller.core.leadership.completeness import AcknowledgedWrites
 from wharftiller.core.leadership.failover import SEND_WINDOW_S
 from wharftiller.core.leadership.record import FailingOver, Leading
 
@@ -110,14 +111,17 @@
             if answering:
                 scope.cancel()
 
+        acknowledged = AcknowledgedWrites()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(probe_lost, nursery.cancel_scope)
-            answering.update(await self._revoker.all_released(record, won_at))
+            revocation = await self._revoker.all_released(record, won_at)
+            answering.update(revocation.answering)
+            acknowledged = revocation.acknowledged
         if not answering and trio.current_time() - probed_at > LAST_PROBE_FRESH_S:
             answering.update(await self._probe_lost_primaries(record))
         if await self._cancel_answering(record, answering):
             return False
-        ready = await self._with_ordered_successors(record)
+        ready = await self._with_ordered_successors(record, acknowledged)
         if ready is None:
             await trio.sleep(INCOMPLETE_RETRY_S)
             return False
@@ -158,21 +162,25 @@
                     nursery.start_soon(probe, group, row)
         return answering
 
-    async def _with_ordered_successors(self, record: LeadershipRecord) -> LeadershipRecord | None:
+    async def _with_ordered_successors(
+        self, record: LeadershipRecord, acknowledged: AcknowledgedWrites
+    ) -> LeadershipRecord | None:
         """Return the record with each failover's final successor, marked as ordered.
 
         None while a group that replicates writes before they are acknowledged has no successor
         known to hold all of them.
         """
         for group, failover in record.failovers.items():
-            best = await self._final_successor(group, failover)
+            best = await self._final_successor(group, failover, acknowledged)
             if best is None:
                 return None
             ordered = attrs.evolve(failover, successor=best, ordered=True)
             record = record.with_group(group, ordered)
         return record
 
-    async def _final_successor(self, group: str, failover: FailingOver) -> str | None:
+    async def _final_successor(
+        self, group: str, failover: FailingOver, acknowledged: AcknowledgedWrites
+    ) -> str | None:
         if failover.old.is_unverified:
             # Every endpoint was queried when it was chosen, including the old primary.
             return failover.successor
@@ -180,7 +188,8 @@
         if caught_up:
             return failover.successor
         if self._successors.has_sync_replicas(group):
-            return await self._successors.complete_replica(group, failover.old.endpoint)
+            old = failover.old.endpoint
+            return await self._successors.complete_replica(group, old, acknowledged)
         fresh_s = 0.0 if failover.planned else CANDIDATES_FRESH_S
         return await self._successors.best(group, failover, fresh_s)
 
--- a/wharftiller/daemons/sessions/leadership/lease_revocation.py
+++ b/wharftiller/daemons/sessions/leadership/lease_revocation.py
@@ -4,13 +4,16 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
 import trio
 
 from wharftiller.core.errors import PlatformUnavailableError
+from wharftiller.core.leadership.completeness import AcknowledgedWrites
 from wharftiller.core.leadership.lease import LEASE_S, MAX_BOX_LIST_AGE_S
 from wharftiller.daemons.sessions.membership.boxes import MAX_NAMED
 
 if TYPE_CHECKING:
+    from wharftiller.core.leadership.completeness import AcknowledgementReport
     from wharftiller.core.leadership.record import LeadershipRecord
     from wharftiller.daemons.sessions.interfaces import SharedObjects
     from wharftiller.daemons.sessions.membership.box import Box
@@ -30,6 +33,22 @@
 """
 
 
+@attrs.frozen
+class Revocation:
+    """No box uses an old primary any more, or lost primaries answer again.
+
+    Attributes
+    ----------
+    answering : list of str
+        The groups whose lost primary answers again.
+    acknowledged : AcknowledgedWrites
+        What the boxes have acknowledged; empty if a lost primary answers.
+    """
+
+    answering: list[str]
+    acknowledged: AcknowledgedWrites = attrs.field(factory=AcknowledgedWrites)
+
+
 class LeaseRevoker:
     """Has this box and every other one release the leases on old primaries."""
 
@@ -48,15 +67,12 @@
         self._server = server
         self._store = store
         self._snapshots = snapshots
+        self._reports: dict[str, AcknowledgementReport] = {}
+        self._started_at = trio.current_time()
 
-    async def all_released(self, record: LeadershipRecord, won_at: float) -> list[str]:
-        """Wait until no box uses an old primary.
-
-        Returns
-        -------
-        list of str
-            The groups whose lost primary answers again; returned at once if there are any.
-        """
+    async def all_released(self, record: LeadershipRecord, won_at: float) -> Revocation:
+        """Wait until no box uses an old primary, or until a lost one answers again."""
+        self._reports.clear()
         listed = await self._reload_boxes()
         dead = self._tombstones.confirmed_dead() if listed else []
         if dead:
@@ -72,19 +88,30 @@
         while True:
             answering = self._answering_lost_primaries(record, won_at)
             if answering:
-                return answering
+                return Revocation(answering)
             if listed and not pending:
                 self._state.log.change(
                     "leases_released", boxes=asked[:MAX_NAMED], boxes_count=len(asked)
                 )
-                return []
+                return Revocation([], self._acknowledged(record, has_all=not dead))
             now = trio.current_time()
             if now >= won_at + LEASE_S and (has_old_member or self._is_old_member(now)):
                 self._state.log.change("lease_waited_out", silent=sorted(pending))
-                return []
+                return Revocation([], self._acknowledged(record, has_all=False))
             await trio.sleep(RELEASE_RETRY_S)
             has_old_member |= await self._request_releases(pending, record)
 
+    def _acknowledged(self, record: LeadershipRecord, *, has_all: bool) -> AcknowledgedWrites:
+        """Return the reports of all boxes that released their leases.
+
+        They are all only if each comes from the process that the list names.
+        """
+        processes = {box.incarnation for box in self._directory.boxes.values()}
+        has_all = has_all and processes == {report.incarnation for report in self._reports.values()}
+        own = self._server.acknowledgement_report(record)
+        since = max(self._started_at, self._directory.changed_at) if has_all else None
+        return AcknowledgedWrites((own, *self._reports.values()), since)
+
     async def _wait_beside_unresponsive(self, won_at: float, others: dict[str, Box]) -> None:
         """Delay the release by the others for most of the wait for unresponsive boxes."""
         await self._directory.query_boxes()
@@ -131,10 +158,13 @@
             if box is None:
                 pending.pop(name, None)
                 return
-            listed_s = await self._directory.request_release(box, record)
-            if listed_s is not None:
-                listed_times.append(listed_s)
-                pending.pop(name, None)
+            reply = await self._directory.request_release(box, record)
+            if reply is None:
+                return
+            listed_times.append(reply.listed_s)
+            pending.pop(name, None)
+            if reply.report is not None:
+                self._reports[name] = reply.report
 
         async with trio.open_nursery() as nursery:
             for name in list(pending):
--- a/wharftiller/daemons/sessions/leadership/successors.py
+++ b/wharftiller/daemons/sessions/leadership/successors.py
@@ -8,10 +8,13 @@
 import trio
 
 from wharftiller.core.errors import EndpointRefusedError, ExchangeError
+from wharftiller.core.leadership.completeness import AcknowledgedWrites, LogEvidence
 from wharftiller.core.leadership.failover import Candidate, best_candidate
 from wharftiller.core.leadership.record import FailingOver, Leading
+from wharftiller.core.positions import LOG_START
 
 if TYPE_CHECKING:
+    from wharftiller.core.positions import LogPosition
     from wharftiller.core.sessions.endpoints import EndpointRow
     from wharftiller.core.sessions.statements import EndpointStatus
     from wharftiller.daemons.sessions.connections.probes import Prober
@@ -92,24 +95,69 @@
 
     def has_sync_replicas(self, group: str) -> bool:
         """Return whether ``group``'s writes are replicated before they are acknowledged."""
-        limits = self._state.configuration.groups.get(group)
-        return limits is not None and limits.sync_replicas > 0
+        return self._state.has_sync_replicas(group)
 
-    async def complete_replica(self, group: str, old: str) -> str | None:
+    async def complete_replica(
+        self, group: str, old: str, acknowledged: AcknowledgedWrites
+    ) -> str | None:
         """Return the replica that holds every acknowledged write; None if that is not certain.
 
-        Must be called once every box has stopped using ``old``. An acknowledged write is on
-        some unknown replica, so all of them must answer. A leaving replica is queried like the
-        others, and chosen if it alone holds most.
+        Must be called once every box has stopped using ``old``, with the list of endpoints read
+        since. A leaving replica is queried like the others, and chosen if it alone holds most.
         """
-        replicas = [row for row in self._state.endpoints.of_group(group) if row.name != old]
-        found = [_candidate(row, status) for row, status in await self._query_all(replicas)]
-        best = best_candidate(found)
-        unresponsive = {row.name for row in replicas} - {each.name for each in found}
-        if best is None or unresponsive:
-            self._state.log.event("replicas_not_known", group=group, silent=sorted(unresponsive))
-            return None
-        return best.name
+        replies = await self._query_all(self._possible_holders(group, old))
+        best = best_candidate(_candidate(row, status) for row, status in replies if row.is_listed)
+        reported = max((status.received for _, status in replies), default=LOG_START)
+        names = {row.name for row, _ in replies}
+        evidence = self._log_evidence(group, old, names, reported, acknowledged)
+        if best is not None and evidence.shows_complete(best.received):
+            return best.name
+        received = LOG_START if best is None else best.received
+        self._state.log.event(
+            "replicas_not_known",
+            group=group,
+            best=None if best is None else best.name,
+            received=str(received),
+            reported=str(reported),
+            silent=sorted(evidence.silent),
+            departed=evidence.uncovered(received),
+            acknowledged=str(evidence.acknowledged),
+            all_boxes_told=evidence.processes_since is not None,
+        )
+        return None
+
+    def _possible_holders(self, group: str, old: str) -> list[EndpointRow]:
+        """Return the endpoints beside ``old`` that may hold writes and still run."""
+        now = trio.current_time()
+        return [
+            row
+            for row in self._state.endpoints.rows.values()
+            if row.entry.group == group
+            and row.name != old
+            and (row.ended_by is None or row.ended_by > now)
+        ]
+
+    def _log_evidence(
+        self,
+        group: str,
+        old: str,
+        answered: set[str],
+        reported: LogPosition,
+        acknowledged: AcknowledgedWrites,
+    ) -> LogEvidence:
+        """Return what is known of the logs of ``group``, given which endpoints answered."""
+        rows = self._state.endpoints.of_group(group)
+        listed = {row.name for row in rows if row.is_listed}
+        departed = self._state.endpoints.departed(group)
+        accounted = answered | {old}
+        return LogEvidence(
+            reported=reported,
+            silent=frozenset(listed - accounted),
+            departed=tuple(each for each in departed if each.name not in accounted),
+            points=self._state.positions.of_group(group),
+            acknowledged=acknowledged.newest(group),
+            processes_since=acknowledged.processes_since,
+        )
 
     async def planned_successor(self, group: str, old: str) -> Candidate | None:
         """Return the replica to which a responsive primary hands over; None if there is none yet.
--- a/wharftiller/daemons/sessions/membership/box_server.py
+++ b/wharftiller/daemons/sessions/membership/box_server.py
@@ -10,13 +10,18 @@
 from wharftiller.daemons.sessions.allowances.token_client import LOAN_PATH, TOKENS_PATH
 from wharftiller.daemons.sessions.membership.boxes import CONTACT_RECENT_S
 from wharftiller.edges.http_server import HttpRequest, HttpResponse
-from wharftiller.edges.leadership_json import record_from_json, record_to_json
+from wharftiller.edges.leadership_json import (
+    record_from_json,
+    record_to_json,
+    report_to_json,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     Handler = Callable[[Any], Awaitable[dict[str, Any]]]
 
+    from wharftiller.core.leadership.completeness import AcknowledgementReport
     from wharftiller.core.leadership.record import LeadershipRecord
     from wharftiller.daemons.sessions.allowances.token_server import TokenServer
     from wharftiller.daemons.sessions.forwarding.executor import ForwardedExecutor
@@ -168,8 +173,18 @@
         if record.revision < value["revision"] or not record.failovers:
             return {"stopped": False}
         await self.release_leases(record)
-        listed_s = self._directory.listed_s(trio.current_time())
-        return {"stopped": True, "listed_ms": int(listed_s * 1000)}
+        now = trio.current_time()
+        report = self.acknowledgement_report(record)
+        return {
+            "stopped": True,
+            "listed_ms": int(self._directory.listed_s(now) * 1000),
+            **report_to_json(report),
+        }
+
+    def acknowledgement_report(self, record: LeadershipRecord) -> AcknowledgementReport:
+        """Return what this process has acknowledged where replicas are synchronous."""
+        groups = [group for group in record.failovers if self._state.has_sync_replicas(group)]
+        return self._state.acknowledgement_report(self._directory.incarnation, groups)
 
     async def release_leases(self, record: LeadershipRecord) -> None:
         """Release the leases on primaries being replaced; if planned, once writes have ended."""
--- a/wharftiller/daemons/sessions/membership/boxes.py
+++ b/wharftiller/daemons/sessions/membership/boxes.py
@@ -23,11 +23,16 @@
 from wharftiller.daemons.sessions.membership.box import Box
 from wharftiller.daemons.sessions.membership.box_list import BoxList
 from wharftiller.edges.http_client import HttpClient, NoAnswerInTimeError
-from wharftiller.edges.leadership_json import record_from_json, record_to_json
+from wharftiller.edges.leadership_json import (
+    record_from_json,
+    record_to_json,
+    report_from_json,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Set
 
+    from wharftiller.core.leadership.completeness import AcknowledgementReport
     from wharftiller.core.leadership.record import LeadershipRecord
     from wharftiller.daemons.sessions.state import SharedState
     from wharftiller.edges.transport import Transport
@@ -76,6 +81,22 @@
     reachable: frozenset[str]
 
 
+@attrs.frozen
+class ReleaseReply:
+    """A box has released its leases on the primaries being replaced.
+
+    Attributes
+    ----------
+    listed_s : float
+        How long the box has been listed, in seconds.
+    report : AcknowledgementReport or None
+        None from a version that sends none.
+    """
+
+    listed_s: float
+    report: AcknowledgementReport | None
+
+
 class BoxDirectory:
     """The other boxes, and this box's requests to them.
 
@@ -87,6 +108,8 @@
         When this process first read its own entry in the list of boxes, in seconds.
     listed_at : float
         When the newest read that showed the entry was requested, in seconds.
+    changed_at : float
+        When the list last changed, in seconds.
     queried_at : float
         When other boxes were last queried, in seconds.
     platform_answers : bool
@@ -103,6 +126,7 @@
         self._box = box
         self.incarnation = box.incarnation
         self.list = BoxList(box, {})
+        self.changed_at = -math.inf
         self._replies: dict[str, BoxReply] = {}
         self._responding: set[str] = set()
         self.listed_since: float | None = None
@@ -139,6 +163,7 @@
             self._replies.pop(name, None)
             self._responding.discard(name)
         self.list = BoxList(self._box, boxes)
+        self.changed_at = trio.current_time()
 
     def _log_change(self, new: Set[str], gone: Set[str], listed: int) -> None:
         """Log a change of the list in one line.
@@ -335,23 +360,24 @@
             return 0.0
         return now - self.listed_since
 
-    async def request_release(self, box: Box, record: LeadershipRecord) -> float | None:
+    async def request_release(self, box: Box, record: LeadershipRecord) -> ReleaseReply | None:
         """Request that a box releases its leases on the primaries being replaced.
 
         Returns
         -------
-        float or None
-            How long the box has been listed, in seconds; None if it did not release them.
+        ReleaseReply or None
+            None if it did not release them.
         """
         body = {"revision": record.revision, "record": record_to_json(record)}
         try:
             value = await self.post(box, "/peer/stop", body, RELEASE_TIMEOUT_S)
-        except ExchangeError as error:
+            if not isinstance(value, dict) or value.get("stopped") is not True:
+                return None
+            listed_s = float(value.get("listed_ms") or 0) / 1000
+            return ReleaseReply(listed_s, report_from_json(value))
+        except (ExchangeError, BadRequestError) as error:
             self._state.log.event("word_not_given", other=box.name, why=str(error))
             return None
-        if not isinstance(value, dict) or value.get("stopped") is not True:
-            return None
-        return float(value.get("listed_ms") or 0) / 1000
 
     async def send_record(self, record: LeadershipRecord, boxes: list[Box] | None = None) -> None:
         """Send a new record to ``boxes``, or to every other box if None."""
--- a/wharftiller/daemons/sessions/serving/autocommit.py
+++ b/wharftiller/daemons/sessions/serving/autocommit.py
@@ -125,7 +125,7 @@
                 if reply.refusal is None:
                     self._state.learn_position(row, reply.position, asked_at)
                     routed.session.wrote(routed.route.group, reply.position)
-                    await confirm_write(self._state, routed.session, row)
+                    await confirm_write(self._state, routed.session, row, reply.position)
                 return attrs.evolve(reply, state=SessionState.IDLE)
         except ExchangeError as error:
             kind = RefusalKind.OUTCOME_UNKNOWN
--- a/wharftiller/daemons/sessions/serving/transactions.py
+++ b/wharftiller/daemons/sessions/serving/transactions.py
@@ -209,7 +209,7 @@
             return attrs.evolve(reply, state=session.state)
         if reply.refusal is None and transaction.wrote:
             session.wrote(transaction.route.group, reply.position)
-            await confirm_write(self._state, session, row)
+            await confirm_write(self._state, session, row, reply.position)
         if reply.state is not SessionState.IDLE:
             self.end(session)
             if reply.refusal is not None and reply.refusal.has_not_run:
--- a/wharftiller/daemons/sessions/state.py
+++ b/wharftiller/daemons/sessions/state.py
@@ -7,8 +7,10 @@
 
 import trio
 
+from wharftiller.core.leadership.completeness import AcknowledgementReport
 from wharftiller.core.leadership.lease import LEASE_S, LeaseTable
 from wharftiller.core.leadership.record import FailingOver, Leading
+from wharftiller.core.positions import LOG_START
 from wharftiller.core.sessions.metrics import SessionMetrics
 from wharftiller.core.sessions.retry_after import PrimaryAvailability
 from wharftiller.core.sessions.routes import SessionConfiguration
@@ -19,7 +21,7 @@
 from wharftiller.daemons.sessions.primary_positions import PrimaryPositions
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Collection
 
     from wharftiller.core.positions import LogPosition
     from wharftiller.core.sessions.endpoints import EndpointRow
@@ -66,6 +68,8 @@
         Set to renew the leases now instead of at the next interval.
     serves_group : callable
         Returns whether this box runs a group's statements itself; set by `Gateways`.
+    acknowledged : dict of str to LogPosition
+        By group, the end of the primary's log after the newest write acknowledged by this process.
     failover_s : float
         Smoothed duration of failovers, from the first record to the last, in seconds.
     is_platform_unavailable : bool
@@ -97,6 +101,7 @@
         self.metrics = SessionMetrics()
         self.endpoints = EndpointTable(dialer, log, self.metrics, self.wake)
         self.positions = PrimaryPositions(self.leases)
+        self.acknowledged: dict[str, LogPosition] = {}
         self.work = InFlightWork(self.wake)
         self.check_soon = trio.Event()
         self.serves_group: Callable[[str], bool] = lambda group: True
@@ -153,6 +158,26 @@
         """Return whether ``row`` is guaranteed to be the only primary of its group now."""
         return self.leases.may_acknowledge(row.entry.group, row.name, trio.current_time())
 
+    def has_sync_replicas(self, group: str) -> bool:
+        """Return whether ``group``'s writes are replicated before they are acknowledged."""
+        limits = self.configuration.groups.get(group)
+        return limits is not None and limits.sync_replicas > 0
+
+    def acknowledgement_report(
+        self, incarnation: str, groups: Collection[str]
+    ) -> AcknowledgementReport:
+        """Return what this process has acknowledged in ``groups``."""
+        return AcknowledgementReport(
+            incarnation,
+            {group: self.acknowledged[group] for group in groups if group in self.acknowledged},
+        )
+
+    def record_acknowledged(self, row: EndpointRow, position: LogPosition | None) -> None:
+        """Record that a write is acknowledged, with the end of its primary's log after it."""
+        group = row.entry.group
+        if position is not None and position > self.acknowledged.get(group, LOG_START):
+            self.acknowledged[group] = position
+
     async def confirm_primary(self, row: EndpointRow, timeout_s: float) -> bool:
         """Wait until a lease check confirms ``row`` as primary; False if none does in time."""
         self.check_soon.set()
--- a/wharftiller/edges/leadership_json.py
+++ b/wharftiller/edges/leadership_json.py
@@ -5,7 +5,9 @@
 from typing import TYPE_CHECKING, Any
 
 from wharftiller.core.errors import BadRequestError
+from wharftiller.core.leadership.completeness import AcknowledgementReport
 from wharftiller.core.leadership.record import FailingOver, LeadershipRecord, Leading
+from wharftiller.core.positions import LogPosition
 
 if TYPE_CHECKING:
     from wharftiller.core.leadership.record import GroupLeadership
@@ -78,3 +80,37 @@
     return FailingOver(
         leading, str(value["successor"]), bool(value["planned"]), bool(value["ordered"])
     )
+
+
+def report_to_json(report: AcknowledgementReport) -> dict[str, Any]:
+    """Return a report of acknowledged writes as JSON."""
+    return {
+        "incarnation": report.incarnation,
+        "acknowledged": {
+            group: (position.term, position.index) for group, position in report.positions.items()
+        },
+    }
+
+
+def report_from_json(value: Any) -> AcknowledgementReport | None:
+    """Decode a report of acknowledged writes; None from a version that sends none.
+
+    Raises
+    ------
+    BadRequestError
+        If ``value`` is not a valid report.
+    """
+    if "acknowledged" not in value:
+        return None
+    try:
+        return AcknowledgementReport(
+            str(value["incarnation"]),
+            {
+                str(group): LogPosition(int(term), int(index))
+                for group, (term, index) in value["acknowledged"].items()
+            },
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise BadRequestError(
+            f"no report of acknowledged writes: {error!r}; run the same version on all boxes"
+        ) from None
--- a/wharftiller/tests/platform/test_synchronous_replicas.py
+++ b/wharftiller/tests/platform/test_synchronous_replicas.py
@@ -121,6 +121,48 @@
 
         run_with_synchronous_replicas(scenario)
 
+    def test_a_lagging_replica_does_not_take_its_place_once_it_has_ended(self) -> None:
+        async def scenario(world: World) -> None:
+            group = world.groups[0]
+            old, leaving, other = group.servers
+            other.replication_suspended = True
+            seats = await write_seats(world)
+            start_leaving(world, leaving)
+            await trio.sleep(DRAIN_S)
+            world.kill_server(old)
+            end_server(world, leaving)
+            await trio.sleep(CRASH_S)
+            other.replication_suspended = False
+            old.down = False
+            world.network.heal()
+            await seconds_until_writable(world, 5.0)
+            assert seats <= seats_of(group.primary)
+            assert not group.promotions
+
+        run_with_synchronous_replicas(scenario)
+
+    @pytest.mark.parametrize("ended_s", [0.5, 2.0, 6.0, 12.0])
+    def test_a_lagging_replica_is_not_promoted_after_it_has_ended(self, ended_s: float) -> None:
+        async def scenario(world: World) -> None:
+            group = world.groups[0]
+            old, leaving, other = group.servers
+            start_leaving(world, leaving)
+            other.replication_suspended = True
+            await trio.sleep(DRAIN_S - 1.0)
+            seats = await write_seats(world)
+            end_server(world, leaving)
+            await trio.sleep(ended_s)
+            world.kill_server(old)
+            await trio.sleep(CRASH_S)
+            assert not group.promotions
+            old.down = False
+            world.network.heal()
+            other.replication_suspended = False
+            await seconds_until_writable(world, 5.0)
+            assert seats <= seats_of(group.primary)
+
+        run_with_synchronous_replicas(scenario)
+
     @pytest.mark.parametrize("ended_s", [0.0, 0.3, 1.0, 5.0, 20.0])
     def test_a_replica_that_kept_up_is_promoted_after_it_has_ended(self, ended_s: float) -> None:
         async def scenario(world: World) -> None:
@@ -138,6 +180,51 @@
         run_with_synchronous_replicas(scenario)
 
 
+class TestReplicaRemovedUnannounced:
+    """The entry of the replica that holds all writes goes, and it serves on for a while."""
+
+    def test_a_lagging_replica_is_not_promoted(self) -> None:
+        async def scenario(world: World) -> None:
+            group = world.groups[0]
+            old, removed, other = group.servers
+            other.replication_suspended = True
+            world.store.remove("servers", removed.name)
+            await trio.sleep(4.0)
+            seats = await write_seats(world)
+            world.kill_server(old)
+            await trio.sleep(CRASH_S)
+            assert not group.promotions
+            old.down = False
+            world.network.heal()
+            other.replication_suspended = False
+            await seconds_until_writable(world, 5.0)
+            assert seats <= seats_of(group.primary)
+
+        run_with_synchronous_replicas(scenario)
+
+
+class TestFormerPrimary:
+    """The primary before the last one crashed, and alone holds all writes with it."""
+
+    def test_a_lagging_replica_is_not_promoted_after_the_second_crash(self) -> None:
+        async def scenario(world: World) -> None:
+            group = world.groups[0]
+            first, second, other = group.servers
+            other.replication_suspended = True
+            seats = await write_seats(world)
+            world.kill_server(first)
+            await wait_until(lambda: second.leads, FAILOVER_S)
+            world.store.remove("servers", first.name)
+            await trio.sleep(4.0)
+            world.kill_server(second)
+            await trio.sleep(CRASH_S)
+            other.replication_suspended = False
+            assert not other.leads
+            assert seats <= seats_of(first)
+
+        run_with_synchronous_replicas(scenario)
+
+
 class TestBoxesFailing:
     """The boxes that acknowledged the writes are gone when the primary crashes."""
 
@@ -161,3 +248,43 @@
             assert not other.leads
 
         run_with_synchronous_replicas(scenario)
+
+    @pytest.mark.parametrize("restarted", [3, 4])
+    def test_boxes_that_never_knew_an_ended_replica_lose_no_write(self, restarted: int) -> None:
+        async def scenario(world: World) -> None:
+            group = world.groups[0]
+            old, leaving, other = group.servers
+            start_leaving(world, leaving)
+            other.replication_suspended = True
+            await trio.sleep(DRAIN_S)
+            seats = await write_seats(world)
+            end_server(world, leaving)
+            await trio.sleep(0.5)
+            for number in range(1, restarted + 1):
+                await world.kill_box(world.boxes[f"box-{number}"])
+                await world.start_box(number)
+            await trio.sleep(2.0)
+            world.kill_server(old)
+            await trio.sleep(2 * CRASH_S)
+            assert not other.leads
+            old.down = False
+            world.network.heal()
+            other.replication_suspended = False
+            await seconds_until_writable(world, 5.0)
+            assert seats <= seats_of(group.primary)
+
+        run_with_synchronous_replicas(scenario)
+
+    def test_a_group_without_writes_is_served_on_after_a_replica_has_ended(self) -> None:
+        async def scenario(world: World) -> None:
+            group = world.groups[0]
+            old, leaving, other = group.servers
+            start_leaving(world, leaving)
+            await trio.sleep(DRAIN_S)
+            end_server(world, leaving)
+            await trio.sleep(10.0)
+            await world.kill_box(world.boxes["box-4"])
+            world.kill_server(old)
+            await wait_until(lambda: other.leads, 12.0)
+
+        run_with_synchronous_replicas(scenario)
