Replace a successor that has ended only by an endpoint that lacks nothing

Cause: when the chosen successor does not run, the next one was the best of the replicas that answer, without the check for synchronous replicas. A leaving successor that ends between the choice and the promotion suffices for it.

Change: the second choice needs the same evidence; the old primary counts as a candidate, as it holds every acknowledged commit if it has returned.

--- a/wharftiller/daemons/sessions/leadership/failover_runner.py
+++ b/wharftiller/daemons/sessions/leadership/failover_runner.py
@@ -94,11 +94,22 @@
 
     async def _replace_successors(self, record: LeadershipRecord, groups: list[str]) -> None:
         """Record other successors for ``groups``, whose successors are not running."""
+        changed = record
         for group in groups:
-            best = await self._successors.best(group, record.failovers[group])
-            failover = attrs.evolve(record.failovers[group], successor=best)
-            record = record.with_group(group, failover)
-        await self._writer.write(record)
+            best = await self._other_successor(group, record.failovers[group])
+            if best is not None:
+                failover = attrs.evolve(record.failovers[group], successor=best)
+                changed = changed.with_group(group, failover)
+        if changed is record:
+            await trio.sleep(INCOMPLETE_RETRY_S)
+            return
+        await self._writer.write(changed)
+
+    async def _other_successor(self, group: str, failover: FailingOver) -> str | None:
+        """Return who takes over in place of the successor; None if nobody certainly may."""
+        if not self._successors.has_sync_replicas(group):
+            return await self._successors.best(group, failover)
+        return await self._successors.complete_endpoint(group, failover.old.endpoint)
 
     async def _revoke_and_mark_ordered(self, record: LeadershipRecord) -> bool:
         """Revoke all leases, then mark the failovers as ordered; return whether they are."""
--- a/wharftiller/daemons/sessions/leadership/successors.py
+++ b/wharftiller/daemons/sessions/leadership/successors.py
@@ -126,6 +126,18 @@
         )
         return None
 
+    async def complete_endpoint(self, group: str, old: str) -> str | None:
+        """Return an endpoint that holds every acknowledged write, which may be ``old`` itself.
+
+        Must be called once every box has stopped using ``old``. It holds all of them, also after
+        it has followed a successor that held them.
+        """
+        replies = await self._query_all(self._state.endpoints.of_group(group))
+        if any(row.name == old for row, _ in replies):
+            best = best_candidate(_candidate(row, status) for row, status in replies)
+            return None if best is None else best.name
+        return await self.complete_replica(group, old, AcknowledgedWrites())
+
     def _possible_holders(self, group: str, old: str) -> list[EndpointRow]:
         """Return the endpoints beside ``old`` that may hold writes and still run."""
         now = trio.current_time()
--- a/wharftiller/tests/platform/test_synchronous_replicas.py
+++ b/wharftiller/tests/platform/test_synchronous_replicas.py
@@ -76,6 +76,12 @@
             await trio.sleep(0.001)
 
 
+def is_ordered(world: World) -> bool:
+    """Return whether the record holds a failover whose promotion may have been ordered."""
+    groups = world.store.spec("wharftiller", "leadership")["groups"]
+    return any(state.get("ordered") for state in groups.values())
+
+
 async def seconds_until_writable(world: World, within_s: float) -> float:
     """Return after how long a write is acknowledged."""
     caller = await world.open_session(world.boxes["box-1"], "primary")
@@ -225,6 +231,30 @@
         run_with_synchronous_replicas(scenario)
 
 
+class TestSuccessorThatEnds:
+    """The successor ends after it was chosen and before it is promoted."""
+
+    def test_a_lagging_replica_does_not_take_its_place(self) -> None:
+        async def scenario(world: World) -> None:
+            group = world.groups[0]
+            old, leaving, other = group.servers
+            other.replication_suspended = True
+            seats = await write_seats(world)
+            start_leaving(world, leaving)
+            world.kill_server(old)
+            await wait_until(lambda: is_ordered(world), FAILOVER_S)
+            end_server(world, leaving)
+            await trio.sleep(CRASH_S)
+            assert not other.leads
+            old.down = False
+            world.network.heal()
+            other.replication_suspended = False
+            await seconds_until_writable(world, 8.0)
+            assert seats <= seats_of(group.primary)
+
+        run_with_synchronous_replicas(scenario)
+
+
 class TestBoxesFailing:
     """The boxes that acknowledged the writes are gone when the primary crashes."""
 
