Read the list of endpoints before a synchronous replica is promoted

Cause: the replicas asked for their logs were those of the list that the watches had delivered. While lists of endpoints fail, a replica that joins and alone receives counts for acknowledgements and is not asked.

Change: where replicas are synchronous, the list is read once all boxes have stopped and before the logs are asked for; one call for each check. The same check writes the record to the platform, so nothing new is depended on but the list itself; while only lists fail such a group waits.

Evidence: the new test has lists fail for 7 s after the crash: a replica that lacks all 20 writes was promoted before; now the joined one is, once a list is answered.

--- a/wharftiller/daemons/sessions/interfaces.py
+++ b/wharftiller/daemons/sessions/interfaces.py
@@ -104,6 +104,16 @@
         """Resume or pause the watches; while paused, another box sends the changes."""
         ...
 
+    async def list_endpoints(self) -> None:
+        """Read the list of endpoints now.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If no answer came.
+        """
+        ...
+
     def read_missed(self, snapshot: PlatformSnapshot) -> None:
         """Read again whatever the watches have not delivered up to the revision of ``snapshot``.
 
--- a/wharftiller/daemons/sessions/leadership/failover_runner.py
+++ b/wharftiller/daemons/sessions/leadership/failover_runner.py
@@ -13,7 +13,7 @@
 from wharftiller.core.leadership.record import FailingOver, Leading
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Awaitable, Callable, Iterable
 
     from wharftiller.core.leadership.record import LeadershipRecord
     from wharftiller.core.sessions.endpoints import EndpointRow
@@ -56,7 +56,13 @@
 
 
 class FailoverRunner:
-    """Runs the failovers that this box holds."""
+    """Runs the failovers that this box holds.
+
+    Parameters
+    ----------
+    list_endpoints : callable
+        Reads the list of endpoints from the platform now.
+    """
 
     def __init__(
         self,
@@ -68,6 +74,7 @@
         successors: SuccessorFinder,
         promotions: Promotions,
         prober: Prober,
+        list_endpoints: Callable[[], Awaitable[None]],
     ) -> None:
         self._state = state
         self._directory = directory
@@ -77,6 +84,7 @@
         self._successors = successors
         self._promotions = promotions
         self._prober = prober
+        self._list_endpoints = list_endpoints
 
     async def advance(self, record: LeadershipRecord) -> None:
         """Advance the failovers in ``record``, which this box holds, as far as possible now."""
@@ -109,6 +117,7 @@
         """Return who takes over in place of the successor; None if nobody certainly may."""
         if not self._successors.has_sync_replicas(group):
             return await self._successors.best(group, failover)
+        await self._list_endpoints()
         return await self._successors.complete_endpoint(group, failover.old.endpoint)
 
     async def _revoke_and_mark_ordered(self, record: LeadershipRecord) -> bool:
@@ -199,6 +208,8 @@
         if caught_up:
             return failover.successor
         if self._successors.has_sync_replicas(group):
+            # A replica may hold writes that has registered since the last change was received.
+            await self._list_endpoints()
             old = failover.old.endpoint
             return await self._successors.complete_replica(group, old, acknowledged)
         fresh_s = 0.0 if failover.planned else CANDIDATES_FRESH_S
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -172,6 +172,7 @@
             identity.bounds.grace_s,
         )
         self.relay = RelayServer(transport, self.state.endpoints.is_endpoint)
+        self._watches = watches(self.state, self._notify_watchers)
         writer = RecordWriter(self.state, shared, incarnation)
         successors = SuccessorFinder(self.state, self._prober)
         revoker = LeaseRevoker(
@@ -186,6 +187,7 @@
             successors,
             promotions,
             self._prober,
+            self._watches.list_endpoints,
         )
         self._failover_monitor = FailoverMonitor(
             self.state,
@@ -197,7 +199,6 @@
             UnverifiedPrimaries(self.state, writer, successors),
         )
         self._isolation = IsolationWatch(self.state, self._directory, self.sessions)
-        self._watches = watches(self.state, self._notify_watchers)
         self._lease_renewer = LeaseRenewer(
             self.state,
             self._directory,
--- a/wharftiller/platform/watches.py
+++ b/wharftiller/platform/watches.py
@@ -180,6 +180,7 @@
         missed: Callable[[], None],
         log: DecisionLog,
     ) -> None:
+        self._store = store
         self._decoder = EndpointDecoder(bounds, log)
         self._decode_configuration = decode_configuration
         self._state = state
@@ -208,6 +209,10 @@
             if watcher.is_wanted != wanted:
                 watcher.follow(wanted)
 
+    async def list_endpoints(self) -> None:
+        """Read the list of endpoints now; raises `PlatformUnavailableError` without an answer."""
+        self._apply_endpoints(*await self._store.list_all(ENDPOINT_KIND))
+
     def read_missed(self, snapshot: PlatformSnapshot) -> None:
         """List the objects again if changes up to the snapshot's revision were missed."""
         assert self._nursery is not None
--- a/wharftiller/tests/platform/test_synchronous_replicas.py
+++ b/wharftiller/tests/platform/test_synchronous_replicas.py
@@ -11,6 +11,7 @@
 import pytest
 import trio
 
+from standins.line_endpoints import LineServer
 from wharftiller.tests.platform.world import (
     World,
     make_group,
@@ -21,8 +22,6 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from standins.line_endpoints import LineServer
-
 WRITES = 20
 """Writes that are acknowledged before the primary fails."""
 
@@ -32,6 +31,9 @@
 CRASH_S = 7.0
 """Time after which a crashed primary returns with its log, in seconds."""
 
+LIST_S = 2.0
+"""Duration of a list of endpoints for which boxes do not wait, in seconds."""
+
 FAILOVER_S = 4.0
 """Maximum time without writes where a complete replica is known, in seconds."""
 
@@ -255,6 +257,31 @@
         run_with_synchronous_replicas(scenario)
 
 
+class TestJoiningReplica:
+    """A replica that has registered while lists of endpoints fail alone holds all writes."""
+
+    def test_a_lagging_replica_is_not_promoted_in_its_place(self) -> None:
+        async def scenario(world: World) -> None:
+            group = world.groups[0]
+            old, *others = group.servers
+            for server in others:
+                server.replication_suspended = True
+            world.store.watches_suspended = True
+            world.store.list_delays = {"servers": LIST_S}
+            joined = LineServer("seats-3", group, "10.2.3.1:5", "b", log=list(old.log))
+            group.servers.append(joined)
+            await world.start_server(joined)
+            seats = await write_seats(world)
+            world.kill_server(old)
+            await trio.sleep(CRASH_S)
+            world.store.list_delays = {}
+            await wait_until(lambda: joined.leads, FAILOVER_S)
+            assert seats <= seats_of(joined)
+            assert {name for name, _, _ in group.promotions} == {joined.name}
+
+        run_with_synchronous_replicas(scenario)
+
+
 class TestBoxesFailing:
     """The boxes that acknowledged the writes are gone when the primary crashes."""
 
