Tell acknowledged positions of every failing group, and look for a replica that keeps up less often

Found reading the diff. A box reported what it acknowledged only for groups that its own configuration calls synchronous; with an older configuration it would have told nothing, which counts as having acknowledged nothing. It tells all groups that fail over now.

--- a/wharftiller/daemons/sessions/leadership/failover_runner.py
+++ b/wharftiller/daemons/sessions/leadership/failover_runner.py
@@ -11,6 +11,7 @@
 from wharftiller.core.leadership.completeness import AcknowledgedWrites
 from wharftiller.core.leadership.failover import SEND_WINDOW_S
 from wharftiller.core.leadership.record import FailingOver, Leading
+from wharftiller.daemons.sessions.leadership.successors import INCOMPLETE_RETRY_S
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
@@ -48,9 +49,6 @@
 Where every box releases its lease at once, the probe made meanwhile is enough.
 """
 
-INCOMPLETE_RETRY_S = 0.5
-"""Time between checks whether some endpoint holds every acknowledged write, in seconds."""
-
 MAX_RECORD_ATTEMPTS = 5
 """Attempts to record a finished failover before it is left to the next check."""
 
--- a/wharftiller/daemons/sessions/leadership/successors.py
+++ b/wharftiller/daemons/sessions/leadership/successors.py
@@ -23,6 +23,9 @@
 CATCH_UP_TIMEOUT_S = 1.5
 """Time for a successor to receive the last writes of a responsive primary, in seconds."""
 
+INCOMPLETE_RETRY_S = 0.5
+"""Time between checks whether some endpoint holds every acknowledged write, in seconds."""
+
 LEADS_TIMEOUT_S = 3.0
 """Time within which a promoted endpoint must report that it leads, in seconds."""
 
@@ -45,6 +48,7 @@
         self._state = state
         self._prober = prober
         self._cached_candidates: dict[str, tuple[float, list[Candidate]]] = {}
+        self._none_kept_up_at: dict[str, float] = {}
 
     async def candidates(
         self, group: str, old: str, no_older_than_s: float = 0.0
@@ -180,11 +184,18 @@
         row = self._state.endpoints.rows.get(old)
         if not self.has_sync_replicas(group) or row is None:
             return best_candidate(await self.candidates(group, old))
-        at_old = await self.status(row)
-        if at_old is None:
+        now = trio.current_time()
+        if now - self._none_kept_up_at.get(group, -math.inf) < INCOMPLETE_RETRY_S:
             return None
-        candidates = await self.candidates(group, old)
-        return best_candidate(each for each in candidates if each.received >= at_old.received)
+        at_old = await self.status(row)
+        candidates = [] if at_old is None else await self.candidates(group, old)
+        keeping_up = [
+            each for each in candidates if at_old is not None and each.received >= at_old.received
+        ]
+        if not keeping_up:
+            self._none_kept_up_at[group] = now
+            self._state.log.event("successor_behind", endpoint=None, group=group, old=old)
+        return best_candidate(keeping_up)
 
     async def wait_caught_up(self, failover: FailingOver) -> bool:
         """Wait until the successor has received everything that the old primary holds.
--- a/wharftiller/daemons/sessions/membership/box_server.py
+++ b/wharftiller/daemons/sessions/membership/box_server.py
@@ -182,9 +182,11 @@
         }
 
     def acknowledgement_report(self, record: LeadershipRecord) -> AcknowledgementReport:
-        """Return what this process has acknowledged where replicas are synchronous."""
-        groups = [group for group in record.failovers if self._state.has_sync_replicas(group)]
-        return self._state.acknowledgement_report(self._directory.incarnation, groups)
+        """Return what this process has acknowledged in the groups that fail over.
+
+        All of them: this box may not have the configuration yet by which replicas are synchronous.
+        """
+        return self._state.acknowledgement_report(self._directory.incarnation, record.failovers)
 
     async def release_leases(self, record: LeadershipRecord) -> None:
         """Release the leases on primaries being replaced; if planned, once writes have ended."""
