Keep positions of former primaries as bounds of what was acknowledged

Cause: a log counts as complete only if it reaches the oldest position known of the primary. Positions were dropped when the primary changed, so the oldest was that of the one in between, whose log had grown by writes that nobody acknowledged: no replica received them.

Change: positions of all primaries of a group are kept, at least 0.25 s apart. What was acknowledged before one of them stays within it whoever leads later.

Test: it fails before (no promotion within 4 s of the return) and passes.

--- a/wharftiller/core/leadership/completeness.py
+++ b/wharftiller/core/leadership/completeness.py
@@ -82,7 +82,7 @@
     departed : tuple of DepartedEndpoint
         The endpoints that are no longer listed and reported none.
     points : FreshPoints
-        Known positions of the old primary.
+        Known positions of the old primary and of former ones.
     acknowledged : LogPosition
         The newest position that a reporting process acknowledged.
     processes_since : float or None
--- a/wharftiller/daemons/sessions/leadership/successors.py
+++ b/wharftiller/daemons/sessions/leadership/successors.py
@@ -173,7 +173,7 @@
             reported=reported,
             silent=frozenset(listed - accounted),
             departed=tuple(each for each in departed if each.name not in accounted),
-            points=self._state.positions.of_group(group),
+            points=self._state.positions.history(group),
             acknowledged=acknowledged.newest(group),
             processes_since=acknowledged.processes_since,
         )
--- a/wharftiller/daemons/sessions/primary_positions.py
+++ b/wharftiller/daemons/sessions/primary_positions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 from typing import TYPE_CHECKING
 
 import trio
@@ -17,12 +18,26 @@
 """By group: the primary, term and index of its position, and its age in milliseconds."""
 
 
+HISTORY_STEP_S = 0.25
+"""Minimum time between two points of the history, in seconds; 256 points cover a minute."""
+
+
 class PrimaryPositions:
-    """Log positions by group; those of a former primary are dropped."""
+    """Log positions by group; those of a former primary are kept only in the history."""
 
     def __init__(self, leases: LeaseTable) -> None:
         self._leases = leases
         self._points: dict[str, tuple[str, FreshPoints]] = {}
+        self._history: dict[str, FreshPoints] = collections.defaultdict(FreshPoints)
+
+    def history(self, group: str) -> FreshPoints:
+        """Return positions that ``group``'s primaries had, the current and former ones.
+
+        What was acknowledged before a point remains within its position when the primary changes.
+        The end of a primary's log may be beyond all that it acknowledged, so older points are the
+        tighter bounds.
+        """
+        return self._history[group]
 
     def of_group(self, group: str) -> FreshPoints:
         """Return the known log positions of ``group``'s current primary."""
@@ -34,7 +49,11 @@
 
     def learn(self, group: str, position: LogPosition, asked_at: float) -> None:
         """Record the primary's position from the reply to a request of ``asked_at`` (seconds)."""
-        self.of_group(group).add(FreshPoint(asked_at, position))
+        point = FreshPoint(asked_at, position)
+        self.of_group(group).add(point)
+        newest = self._history[group].newest
+        if newest is None or asked_at - newest.at >= HISTORY_STEP_S:
+            self._history[group].add(point)
 
     def to_json(self) -> PositionsJson:
         """Return each primary's newest known position and its age, to send to another box."""
--- a/wharftiller/tests/platform/test_synchronous_replicas.py
+++ b/wharftiller/tests/platform/test_synchronous_replicas.py
@@ -232,6 +232,28 @@
 
         run_with_synchronous_replicas(scenario)
 
+    def test_it_takes_over_once_it_returns_beside_writes_that_nobody_acknowledged(self) -> None:
+        async def scenario(world: World) -> None:
+            group = world.groups[0]
+            first, second, other = group.servers
+            other.replication_suspended = True
+            seats = await write_seats(world)
+            start_leaving(world, second)
+            world.kill_server(first)
+            await wait_until(lambda: second.leads, FAILOVER_S)
+            caller = await world.open_session(world.boxes["box-1"], "primary")
+            for number in range(3):
+                answer = await caller.execute(f"WRITE later{number} anna")
+                assert answer[0] != "ROW written"
+            end_server(world, second)
+            await trio.sleep(2.0)
+            first.down = first.leads = False
+            world.network.heal()
+            await wait_until(lambda: first.leads, FAILOVER_S)
+            assert seats <= seats_of(first)
+
+        run_with_synchronous_replicas(scenario)
+
 
 class TestSuccessorThatEnds:
     """The successor ends after it was chosen and before it is promoted."""
