Search at random for lease holders that are not listed

Boxes are stopped, killed, cut off and restarted at times drawn from a seed, while three in ten changes of the list of boxes or of the record are done 0.01 to 6 s late without an answer; list and leases are compared every 5 ms.

--- a/wharftiller/tests/platform/test_box_entries.py
+++ b/wharftiller/tests/platform/test_box_entries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -32,6 +33,9 @@
 SETTLED_S = 2.0
 """Time after which a restarted box's leases are renewed by the other boxes, in seconds."""
 
+CHANGES = 8
+"""Changes of boxes in one random history."""
+
 CHECK_S = 0.005
 """Time between checks of the list of boxes, in seconds."""
 
@@ -274,3 +278,44 @@
             assert not holds_lease(box)
 
         run_in_world(scenario)
+
+
+def check_random_changes(seed: int) -> None:
+    """Stop, kill, cut off and restart boxes while calls are done late, as drawn from ``seed``."""
+    rng = random.Random(seed)
+
+    def done_late_s(request: HttpRequest) -> float | None:
+        changes_entry = request.method != "GET" and "/wharftiller" in request.path
+        return rng.uniform(0.01, 6.0) if changes_entry and rng.random() < 0.3 else None
+
+    async def change(world: World) -> None:
+        number = rng.choice([2, 3, 4])
+        box = world.boxes[f"box-{number}"]
+        match rng.randrange(3):
+            case 0:
+                await stop(world, box)
+            case 1:
+                await world.kill_box(box)
+            case _:
+                others = [each.ip for each in world.boxes.values() if each is not box]
+                world.network.cut([box.ip], [STORE_IP, *rng.sample(others, rng.randrange(4))])
+                await trio.sleep(rng.uniform(1.0, 30.0))
+                world.network.heal()
+                return
+        await trio.sleep(rng.choice([0.0, 0.3, 1.0, 2.0]))
+        await world.start_box(number, "abca"[number - 1])
+
+    async def scenario(world: World) -> None:
+        world.store.done_late_s = done_late_s
+        async with every_lease_holder_is_listed(world):
+            for _ in range(CHANGES):
+                await change(world)
+                await trio.sleep(rng.uniform(0.0, 4.0))
+
+    run_in_world(scenario, boxes=4)
+
+
+class TestRandomChanges:
+    @pytest.mark.parametrize("seed", range(2))
+    def test_every_lease_holder_is_listed(self, seed: int) -> None:
+        check_random_changes(seed)
