--- a/wharftiller/daemons/sessions/leadership/failover_runner.py
+++ b/wharftiller/daemons/sessions/leadership/failover_runner.py
@@ -113,7 +113,7 @@
 
     async def _other_successor(self, group: str, failover: FailingOver) -> str | None:
         """Return who takes over in place of the successor; None if nobody certainly may."""
-        if not self._successors.has_sync_replicas(group):
+        if not self._state.has_sync_replicas(group):
             return await self._successors.best(group, failover)
         await self._list_endpoints()
         return await self._successors.complete_endpoint(group, failover.old.endpoint)
@@ -205,7 +205,7 @@
         caught_up = failover.planned and await self._successors.wait_caught_up(failover)
         if caught_up:
             return failover.successor
-        if self._successors.has_sync_replicas(group):
+        if self._state.has_sync_replicas(group):
             # A replica may hold writes that has registered since the last change was received.
             await self._list_endpoints()
             old = failover.old.endpoint
--- a/wharftiller/daemons/sessions/leadership/successors.py
+++ b/wharftiller/daemons/sessions/leadership/successors.py
@@ -100,10 +100,6 @@
             self._state.log.event("no_status", endpoint=row.name, why=str(error))
             return None
 
-    def has_sync_replicas(self, group: str) -> bool:
-        """Return whether ``group``'s writes are replicated before they are acknowledged."""
-        return self._state.has_sync_replicas(group)
-
     async def complete_replica(
         self, group: str, old: str, acknowledged: AcknowledgedWrites
     ) -> str | None:
@@ -185,7 +181,7 @@
         still while it waits for one that does not.
         """
         row = self._state.endpoints.rows.get(old)
-        if not self.has_sync_replicas(group) or row is None:
+        if not self._state.has_sync_replicas(group) or row is None:
             return best_candidate(await self.candidates(group, old))
         now = trio.current_time()
         if now - self._none_kept_up_at.get(group, -math.inf) < INCOMPLETE_RETRY_S:
--- a/wharftiller/daemons/sessions/membership/boxes.py
+++ b/wharftiller/daemons/sessions/membership/boxes.py
@@ -22,6 +22,7 @@
 from wharftiller.core.sessions.state_versions import StateVersions
 from wharftiller.daemons.sessions.membership.box import Box
 from wharftiller.daemons.sessions.membership.box_list import BoxList
+from wharftiller.daemons.sessions.membership.replies import BoxReply, ReleaseReply
 from wharftiller.edges.http_client import HttpClient, NoAnswerInTimeError
 from wharftiller.edges.leadership_json import (
     record_from_json,
@@ -32,7 +33,6 @@
 if TYPE_CHECKING:
     from collections.abc import Set
 
-    from wharftiller.core.leadership.completeness import AcknowledgementReport
     from wharftiller.core.leadership.record import LeadershipRecord
     from wharftiller.daemons.sessions.state import SharedState
     from wharftiller.edges.transport import Transport
@@ -62,41 +62,6 @@
 """A primary that answered within this time counts as reachable, in seconds."""
 
 
-@attrs.frozen
-class BoxReply:
-    """One box's reply to a query.
-
-    Attributes
-    ----------
-    platform_answers : bool
-        Whether its last read of the platform succeeded.
-    reachable : frozenset of str
-        The primaries that it can reach directly.
-    """
-
-    answer: RenewalReply
-    platform_answers: bool
-    incarnation: str
-    state_versions: StateVersions
-    reachable: frozenset[str]
-
-
-@attrs.frozen
-class ReleaseReply:
-    """A box has released its leases on the primaries being replaced.
-
-    Attributes
-    ----------
-    listed_s : float
-        How long the box has been listed, in seconds.
-    report : AcknowledgementReport or None
-        None from a version that sends none.
-    """
-
-    listed_s: float
-    report: AcknowledgementReport | None
-
-
 class BoxDirectory:
     """The other boxes, and this box's requests to them.
 
