Search at random for lost writes of synchronous replicas

Histories drawn from a seed: replicas that receive nothing for a while, servers replaced with and without an announcement, primaries that crash and return with their log, boxes that are killed and started again, one or all. Each promotion is checked for acknowledged writes that the promoted log lacks, and the group must acknowledge writes again within 40 s after the last fault.

--- a/wharftiller/tests/platform/test_synchronous_replicas.py
+++ b/wharftiller/tests/platform/test_synchronous_replicas.py
@@ -12,6 +12,7 @@
 import trio
 
 from standins.line_endpoints import LineServer
+from wharftiller.tests.platform.synchronous_histories import SynchronousHistory
 from wharftiller.tests.platform.world import (
     World,
     make_group,
@@ -367,3 +368,17 @@
             await wait_until(lambda: other.leads, 12.0)
 
         run_with_synchronous_replicas(scenario)
+
+
+class TestRandomHistories:
+    """Seeds in which a lagging replica was promoted when only listed ones were asked."""
+
+    @pytest.mark.parametrize("seed", [2, 13])
+    def test_no_promotion_loses_a_write_and_the_group_serves_again(
+        self, seed: int, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        history = SynchronousHistory(seed)
+        history.run(monkeypatch)
+        assert history.lost == []
+        assert history.serves_again
+        assert history.promotions > 0
