Go by what others acknowledged where a process knows no position of the primary

Cause: a process that has just started does not know the replicas that have gone, and is bound by the first position of the primary that it learns. After a crash it learns none, and counted that as no bound.

Change: without a position of its own a process requires what the others have acknowledged, which they tell as they release their leases.

Test: promoted the lagging replica before, passes now. It stays open where all boxes start again as the primary crashes: then nobody can tell.

--- a/wharftiller/core/leadership/completeness.py
+++ b/wharftiller/core/leadership/completeness.py
@@ -107,10 +107,11 @@
     def _all_holders_reported(self, received: LogPosition) -> bool:
         if self.silent or received < self.reported or self.uncovered(received):
             return False
-        # Endpoints that departed before this process started are known to nobody. What they held
-        # is within the first position of the primary that it learned.
+        # This process does not know the endpoints that departed before it started. What they held
+        # is within the first position of the primary that it learned; without one, within what
+        # the other processes have acknowledged.
         first = self.points.earliest_since(-math.inf)
-        return first is None or first <= received
+        return received >= (self.acknowledged if first is None else first)
 
     def _reaches_all_acknowledged(self, received: LogPosition) -> bool:
         if self.processes_since is None or received < self.acknowledged:
--- a/wharftiller/tests/platform/test_synchronous_replicas.py
+++ b/wharftiller/tests/platform/test_synchronous_replicas.py
@@ -72,6 +72,13 @@
     world.network.kill(server.address.partition(":")[0])
 
 
+def holder_of_failover(world: World) -> str:
+    """Return the box that holds the failover in the record; empty if there is none."""
+    record = world.store.spec("wharftiller", "leadership")
+    has_failover = any("successor" in state for state in record["groups"].values())
+    return str(record["holder"]).partition("/")[0] if has_failover else ""
+
+
 async def wait_until(condition: Callable[[], bool], within_s: float) -> None:
     """Wait until ``condition`` holds; fails if it does not within ``within_s`` seconds."""
     with trio.fail_after(within_s):
@@ -355,6 +362,31 @@
 
         run_with_synchronous_replicas(scenario)
 
+    def test_a_holder_that_starts_again_promotes_no_lagging_replica(self) -> None:
+        async def scenario(world: World) -> None:
+            group = world.groups[0]
+            old, leaving, other = group.servers
+            start_leaving(world, leaving)
+            other.replication_suspended = True
+            await trio.sleep(DRAIN_S)
+            seats = await write_seats(world)
+            end_server(world, leaving)
+            await trio.sleep(0.5)
+            world.kill_server(old)
+            await wait_until(lambda: holder_of_failover(world) != "", FAILOVER_S)
+            holder = holder_of_failover(world)
+            await world.kill_box(world.boxes[holder])
+            await world.start_box(int(holder[-1]))
+            await trio.sleep(CRASH_S)
+            assert not other.leads
+            old.down = False
+            world.network.heal()
+            other.replication_suspended = False
+            await seconds_until_writable(world, 8.0)
+            assert seats <= seats_of(group.primary)
+
+        run_with_synchronous_replicas(scenario)
+
     def test_a_group_without_writes_is_served_on_after_a_replica_has_ended(self) -> None:
         async def scenario(world: World) -> None:
             group = world.groups[0]
