--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,113 +1,90 @@
-"""One entry of another writer cannot be read, then all processes are killed and start again.
+"""All processes start again while the primary is down, after a replica has left as planned.
 
-Such an entry names no server to use and the others hold, so the deployment has to serve again.
+With `SyncReplicas` 1 the primary and the replica that left are the only ones that hold the last
+acknowledged commits. The promoted server has to hold all of them.
 """
 
 from __future__ import annotations
 
-import json
 import os
 import sys
 import tempfile
 from pathlib import Path
-from typing import Any
 
-import attrs
 import trio
-from support_2 import (
-    BOUNDS,
+
+from review.support_2 import (
     BROKEN,
     COULD_NOT_RUN,
     HELD,
     Client,
     Deployment,
+    Group,
     Record,
     new_group,
 )
 
-from wharftiller.edges.http_server import HttpRequest, HttpResponse
-
 SETTLE_S = 6.0
-"""Time of quiet traffic before the entry is written, in seconds."""
-
-KILL_AFTER_S = 4.0
-"""Time from then until all processes are killed, in seconds."""
-
-DOWN_S = 1.5
-"""Time until they start again, in seconds."""
-
-JUDGED_S = 15.0
-"""Time for which requests are judged, from `RecoveryS` after the restart on, in seconds."""
+"""Time of quiet traffic before the replica says that it leaves, in seconds."""
 
-ASK_EVERY_S = 0.05
+DEAF_AFTER_S = 4.0
+"""Time from then until the other replica goes deaf, in seconds."""
 
-QUARTER = 0.25
+CRASH_AFTER_S = 3.0
+"""Time from then until the primary crashes, in seconds."""
 
-UNREADABLE = b"\xff\xfe\x80 tourdesk".decode(errors="surrogateescape")
-"""Bytes that are no text; JSON holds them as escapes of unpaired surrogates."""
+LEFT_AFTER_S = 1.0
+"""Time from the crash until the leaving replica ends, in seconds: 8 s after it said so."""
 
+KILL_AFTER_S = 0.3
+"""Time from then until all processes are killed, in seconds."""
 
-@attrs.define
-class Share:
-    """Requests sent and served in one span of time."""
-
-    sent: int = 0
-    served: int = 0
-
-    @property
-    def value(self) -> float:
-        """The share that was served."""
-        return self.served / self.sent if self.sent else 0.0
-
-
-@attrs.define
-class Spans:
-    """The span that requests count for now."""
-
-    before: Share = attrs.field(factory=Share)
-    after: Share = attrs.field(factory=Share)
-    current: Share | None = None
+DOWN_S = 1.5
+"""Time for which they are down, in seconds."""
 
+PRIMARY_DOWN_S = 7.0
+"""Time for which the primary is down, in seconds: the dose of the site."""
 
-def encode_as_json(deployment: Deployment) -> None:
-    """Have the store encode its answers with the standard library, which escapes any text."""
-    store: Any = deployment.store
-    handle = store._handle
+DEAF_S = 6.5
+"""Time for which the other replica receives nothing, in seconds: the dose of the site."""
 
-    async def handle_and_encode(request: HttpRequest) -> HttpResponse:
-        response: HttpResponse = await handle(request)
-        if not isinstance(response.body, bytes):
-            response.body = json.dumps(response.body).encode("ascii")
-        return response
+WATCHED_S = 8.0
+"""Time after the return of the primary for which the deployment is watched, in seconds."""
 
-    store._handle = handle_and_encode
+WRITE_EVERY_S = 0.05
 
 
-async def ask_on(client: Client, name: str, spans: Spans) -> None:
-    """Write and read by turns for ever; count requests and successes."""
+async def write_on(client: Client, group: Group, name: str) -> None:
+    """Write for ever; note each write that is answered with success."""
     number = 0
     while True:
         number += 1
-        text = f"WRITE {name} {number}" if number % 2 else f"READ {name}"
-        span = spans.current
-        answer = await client.ask(f"{name}{number:06d}", text)
-        if span is not None:
-            span.sent += 1
-            span.served += answer.code == "done"
-        await trio.sleep(ASK_EVERY_S)
+        request_id = f"{name}{number:06d}"
+        answer = await client.ask(request_id, f"WRITE {name} {number}")
+        if answer.code == "done":
+            group.acknowledged[request_id] = trio.current_time()
+        await trio.sleep(WRITE_EVERY_S)
 
 
-async def play(deployment: Deployment, spans: Spans, has_trouble: bool) -> None:
+async def play(deployment: Deployment, group: Group, has_trouble: bool) -> None:
     """Play the case."""
+    primary, deaf, leaving = group.servers
     record = deployment.record
-    spans.current = spans.before
     await trio.sleep(SETTLE_S)
-    if has_trouble:
-        record.add("another writer leaves an entry of kind servers that cannot be read")
-        deployment.store.set("servers", "i-0ther", UNREADABLE)
+    if not has_trouble:
+        await trio.sleep(DEAF_AFTER_S + CRASH_AFTER_S + PRIMARY_DOWN_S + WATCHED_S)
+        return
+    leaving.leaving = True
+    record.add(f"{leaving.name} says that it leaves")
+    await trio.sleep(DEAF_AFTER_S)
+    deaf.replication_suspended = True
+    record.add(f"{deaf.name} receives nothing for {DEAF_S} s")
+    await trio.sleep(CRASH_AFTER_S)
+    deployment.crash(primary)
+    crashed_at = trio.current_time()
+    await trio.sleep(LEFT_AFTER_S)
+    deployment.crash(leaving, has_left=True)
     await trio.sleep(KILL_AFTER_S)
-    spans.current = None
-    deployment.configure()
     for box in deployment.boxes:
         box.end()
     record.add("all processes are killed")
@@ -115,40 +92,34 @@
     for box in deployment.boxes:
         box.start()
     record.add("all processes start again")
-    await trio.sleep(BOUNDS["RecoveryS"])
-    spans.current = spans.after
-    record.add("requests sent from now on are judged")
-    await trio.sleep(JUDGED_S)
-    spans.current = None
-    ready = [box.name for box in deployment.boxes if await deployment.is_ready(box)]
-    record.add(f"ready: {ready}")
+    await trio.sleep_until(crashed_at + DEAF_S - CRASH_AFTER_S)
+    deaf.replication_suspended = False
+    record.add(f"{deaf.name} receives again")
+    await trio.sleep_until(crashed_at + PRIMARY_DOWN_S)
+    await deployment.bring_back(primary)
+    await trio.sleep(WATCHED_S)
 
 
 async def main(folder: Path, has_trouble: bool) -> int:
     """Run the case; return the exit status."""
     record = Record()
-    groups = [new_group(f"ledger{number}", record, max_connections=23) for number in range(3)]
-    deployment = Deployment(folder, record, groups, boxes=3)
-    encode_as_json(deployment)
-    spans = Spans()
+    group = new_group("ledger", record, sync_replicas=1, max_connections=23)
+    deployment = Deployment(folder, record, [group], boxes=3)
     status = COULD_NOT_RUN
     try:
         async with trio.open_nursery() as nursery:
             await deployment.start(nursery)
             await deployment.wait_until_ready()
-            for number, group in enumerate(groups):
-                name = "abc"[number]
-                database = f"{group.name}-primary"
-                client = Client(f"client-{name}", deployment.boxes, database, record)
-                nursery.start_soon(ask_on, client, name, spans)
-            await play(deployment, spans, has_trouble)
+            for name in "abc":
+                client = Client(f"client-{name}", deployment.boxes, "ledger-primary", record)
+                nursery.start_soon(write_on, client, group, name)
+            await play(deployment, group, has_trouble)
             nursery.cancel_scope.cancel()
-        record.add(f"before the final fault: {spans.before}")
-        record.add(f"more than RecoveryS after the restart: {spans.after}")
-        if spans.before.value >= QUARTER:
-            status = BROKEN if spans.after.value < QUARTER else HELD
+        is_idle = len(group.acknowledged) < 100
+        status = COULD_NOT_RUN if is_idle else BROKEN if group.lost else HELD
     finally:
         deployment.end()
+        record.add(f"acknowledged {len(group.acknowledged)}, lost {len(group.lost)}")
         record.write(Path(__file__).parent / "record.txt")
     return status
 
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,18 +1,11 @@
 #!/usr/bin/env bash
-# Build what the scripts of the second review start beside the program of the deploy file: the
-# project's stand-ins and the review's own module. They are Python and need only the packages in
-# target/deps, so this checks that they compile and can be imported.
+# Check that the stand-ins of the second review's scripts, and the project's own that they use, can
+# be imported. They are Python modules and need only what the build of the deploy file puts into
+# target/deps.
 set -eu
 cd "$(dirname "$0")/.."
-export PYTHONDONTWRITEBYTECODE=1 PYTHONPATH="target/deps:.:review"
-python3 - <<'PYTHON'
-import ast
-from pathlib import Path
-
-import standins.line_endpoints
-import standins.object_store
-import support_2
-
-for path in Path("review").glob("[4-8]/*.py"):
-    ast.parse(path.read_text(encoding="utf-8"))
-PYTHON
+export PYTHONPATH=target/deps:. PYTHONDONTWRITEBYTECODE=1
+for case in review/[4-8]/case.py; do
+    module=${case%.py}
+    python3 -c "import importlib; importlib.import_module('${module//\//.}')"
+done
--- a/review/support_2.py
+++ b/review/support_2.py
@@ -57,6 +57,9 @@
 MISSED_CHECK_INS = 3
 """Check-ins after which the entry of a silent server goes."""
 
+POLL_S = 0.02
+"""Time between looks at what a server tells of itself, in seconds."""
+
 ANSWER_TIMEOUT_S = 3.0
 """Time that a client waits for an answer, in seconds."""
 
@@ -274,11 +277,34 @@
             self._scopes[server.name] = scope
             await serve_server(server, TcpTransport(), task_status)
 
-    def crash(self, server: LineServer) -> None:
-        """End a server without a word: its connections break, its port refuses new ones."""
+    def crash(self, server: LineServer, *, has_left: bool = False) -> None:
+        """End a server: its connections break, its port refuses new ones.
+
+        Parameters
+        ----------
+        has_left : bool
+            Whether it ends as planned, and its entry goes at once.
+        """
         server.down = True
         self._scopes[server.name].cancel()
-        self.record.add(f"{server.name} crashes")
+        if has_left:
+            self.unlisted.add(server.name)
+            self.store.remove("servers", server.name)
+        self.record.add(f"{server.name} {'has left' if has_left else 'crashes'}")
+
+    async def bring_back(self, server: LineServer) -> None:
+        """Start a crashed server again: with its log, as a replica if another was promoted."""
+        newest = max((each for each in server.group.servers if each.leads), key=lambda x: x.term)
+        if newest is not server:
+            server.leads = False
+            server.log = list(newest.log)
+            server.term = newest.term
+        nursery = server.group.nursery
+        assert nursery is not None
+        await nursery.start(self._serve, server)
+        server.down = False
+        nursery.start_soon(self._check_in, server)
+        self.record.add(f"{server.name} is back, {'primary' if server.leads else 'replica'}")
 
     async def _check_in(self, server: LineServer) -> None:
         """Keep the entry of a server while it runs; remove it three check-ins after its end."""
@@ -291,14 +317,19 @@
                 self.store.set("servers", server.name, self._entry(server, sequence))
             await self._sleep_until_change(server)
         await trio.sleep(MISSED_CHECK_INS * CHECK_IN_S)
-        self.store.remove("servers", server.name)
+        if server.down:
+            self.store.remove("servers", server.name)
 
     async def _sleep_until_change(self, server: LineServer) -> None:
         """Sleep until the next check-in, or until something but `Seq` changes."""
-        before = (server.leads, server.down, server.name in self.unlisted)
+
+        def state() -> tuple[bool, ...]:
+            return server.leads, server.down, server.leaving, server.name in self.unlisted
+
+        before = state()
         with trio.move_on_after(CHECK_IN_S):
-            while (server.leads, server.down, server.name in self.unlisted) == before:
-                await trio.sleep(0.02)
+            while state() == before:
+                await trio.sleep(POLL_S)
 
     @staticmethod
     def _entry(server: LineServer, sequence: int) -> dict[str, Any]:
@@ -308,7 +339,7 @@
             "Zone": server.data_centre,
             "Version": "1",
             "Slots": 3,
-            "State": "ready",
+            "State": "draining" if server.leaving else "ready",
             "ColdLeftMs": 0,
             "Seq": sequence,
             "DbRole": "primary" if server.leads else "replica",
