Keep who may hold an acknowledged write on the platform

What callers saw: with SyncReplicas 1, bookings that had been acknowledged were gone.

Cause: LogEvidence._all_holders_reported asked the endpoints that the process knew. A process that has just started knows none of those that have gone, and took that for knowing that there are none.

Change: the endpoints whose logs may hold an acknowledged write, the holders of a group, are an object of the platform, keyed by address (core/leadership/holders.py, docs/design/platform.md). An endpoint is added when a gateway sees it registered, before the group's first primary is recorded; it is removed only once its address refuses connections (or it is silent to every gateway for 10 s) and a registered replica has reached a position that the primary had after that. A promotion asks every holder, also one that is not registered. Where nothing is stored yet, a process that knows no position of the primary waits for it. Groups without synchronous replicas write and ask nothing.

Evidence: replicas_not_known is missing before promotion_ordered in the logs of the case, two seconds after the processes started: the evidence was accepted at once.

--- a/standins/line_endpoints.py
+++ b/standins/line_endpoints.py
@@ -261,8 +261,8 @@
         line, buffer = buffer.split(b"\r\n", 1)
         text = line.decode()
         if connection is None:
-            _, group, client_name, name = text.split(" ")
-            if group != server.group.name or name != server.name:
+            _, group, client_name, *expected = text.split(" ")
+            if group != server.group.name or expected not in ([], [server.name]):
                 await stream.send_all(b"ERROR MISROUTED another server\r\n")
                 return
             if server.connections > server.group.max_connections:
--- a/standins/network.py
+++ b/standins/network.py
@@ -8,7 +8,7 @@
 import attrs
 import trio
 
-from wharftiller.core.errors import ExchangeError
+from wharftiller.core.errors import AddressRefusedError
 from wharftiller.edges.transport import Handler
 
 Latency = Callable[[str, str], float]
@@ -156,7 +156,7 @@
 
         Raises
         ------
-        ExchangeError
+        AddressRefusedError
             If no listener exists at the address.
         """
         target = address.rpartition(":")[0]
@@ -166,7 +166,7 @@
         await trio.sleep(self.latency(source, target))
         listener = self._listeners.get(address)
         if listener is None:
-            raise ExchangeError(f"{address} cannot be reached: connection refused")
+            raise AddressRefusedError(f"{address} cannot be reached: connection refused")
         local, remote = FakeStream(self, source, target), FakeStream(self, target, source)
         local.peer, remote.peer = remote, local
         self.streams |= {local: None, remote: None}
--- a/standins/object_store.py
+++ b/standins/object_store.py
@@ -114,6 +114,21 @@
         value = self._objects.get((kind, name))
         return value["spec"] if value else None
 
+    def count_changes(self, kind: str, name: str) -> int:
+        """Return how often an object was written or removed."""
+        return len(self._changes_of(kind, name))
+
+    def first_revision(self, kind: str, name: str) -> int:
+        """Return the revision at which an object was created first."""
+        return self._changes_of(kind, name)[0].revision
+
+    def _changes_of(self, kind: str, name: str) -> list[_Change]:
+        return [
+            change
+            for change in self._changes
+            if change.kind == kind and change.value["meta"]["Name"] == name
+        ]
+
     def compact_history(self) -> None:
         """Answer watches that start before the current revision with 410."""
         self._compacted_revision = self.revision
--- a/wharftiller/core/errors.py
+++ b/wharftiller/core/errors.py
@@ -94,6 +94,12 @@
     status = 502
 
 
+class AddressRefusedError(ExchangeError):
+    """A host refused a connection, as no process listens at the address."""
+
+    kind = "address_refused"
+
+
 class EndpointRefusedError(WharfError):
     """An endpoint answered but did not accept a connection.
 
--- a/wharftiller/core/leadership/completeness.py
+++ b/wharftiller/core/leadership/completeness.py
@@ -2,8 +2,8 @@
 
 An acknowledged write is on the old primary and on at least one replica, which one is not known. A
 replica may be promoted only if its log certainly holds all of them. Two kinds of evidence show it:
-every endpoint that may hold a write has reported its log, or the log reaches all that any box has
-acknowledged.
+every endpoint that may hold a write (`HolderSet`) has reported its log, or the log reaches all that
+any box has acknowledged.
 """
 
 from __future__ import annotations
@@ -21,17 +21,17 @@
 
 
 @attrs.frozen
-class DepartedEndpoint:
-    """An endpoint that is no longer listed.
+class AbsentHolder:
+    """A holder that is not registered and reported no log.
 
     Attributes
     ----------
-    ended_by : float
-        Time by which it has ended and receives nothing more, in seconds.
+    ended_at : float
+        Time by which it has ended and receives nothing more, in seconds; infinite if not known.
     """
 
-    name: str
-    ended_by: float
+    address: str
+    ended_at: float
 
 
 @attrs.frozen
@@ -79,8 +79,10 @@
         The newest position that an endpoint other than the old primary has reported.
     silent : frozenset of str
         The listed endpoints, without the old primary, that reported none.
-    departed : tuple of DepartedEndpoint
-        The endpoints that are no longer listed and reported none.
+    absent : tuple of AbsentHolder
+        The holders that are no longer listed and reported none.
+    knows_holders : bool
+        Whether these are all holders; otherwise, all that this process has seen.
     points : FreshPoints
         Known positions of the old primary and of former ones.
     acknowledged : LogPosition
@@ -91,7 +93,8 @@
 
     reported: LogPosition
     silent: frozenset[str]
-    departed: tuple[DepartedEndpoint, ...]
+    absent: tuple[AbsentHolder, ...]
+    knows_holders: bool
     points: FreshPoints
     acknowledged: LogPosition
     processes_since: float | None
@@ -101,17 +104,15 @@
         return self._all_holders_reported(received) or self._reaches_all_acknowledged(received)
 
     def uncovered(self, received: LogPosition) -> list[str]:
-        """Return the departed endpoints that may have held a write beyond ``received``."""
-        return [each.name for each in self.departed if not self._covers(received, each.ended_by)]
+        """Return the addresses of absent holders that may hold a write beyond ``received``."""
+        return [each.address for each in self.absent if not self._covers(received, each.ended_at)]
 
     def _all_holders_reported(self, received: LogPosition) -> bool:
         if self.silent or received < self.reported or self.uncovered(received):
             return False
-        # This process does not know the endpoints that departed before it started. What they held
-        # is within the first position of the primary that it learned; without one, within what
-        # the other processes have acknowledged.
-        first = self.points.earliest_since(-math.inf)
-        return received >= (self.acknowledged if first is None else first)
+        # What endpoints held that ended before this process started is within the first position
+        # of the primary that it learned.
+        return self.knows_holders or self._covers(received, -math.inf)
 
     def _reaches_all_acknowledged(self, received: LogPosition) -> bool:
         if self.processes_since is None or received < self.acknowledged:
--- a/wharftiller/core/sessions/endpoints.py
+++ b/wharftiller/core/sessions/endpoints.py
@@ -88,17 +88,6 @@
         """Whether the newest list contains it."""
         return not self.gone and self.missing_since is None
 
-    @property
-    def ended_by(self) -> float | None:
-        """Time by which an endpoint that is not listed has ended, in seconds; None if it is listed.
-
-        One whose entry goes without an announcement serves on as long as after one.
-        """
-        if self.missing_since is None:
-            return None
-        announced_at = self.missing_since if self.leaving_since is None else self.leaving_since
-        return max(self.missing_since, announced_at + self.entry.leaving_serves_s)
-
     @property
     def may_need_successor(self) -> bool:
         """Whether it is unreachable or about to stop: a group that it leads needs a successor."""
--- a/wharftiller/daemons/sessions/endpoint_table.py
+++ b/wharftiller/daemons/sessions/endpoint_table.py
@@ -6,7 +6,6 @@
 
 import trio
 
-from wharftiller.core.leadership.completeness import DepartedEndpoint
 from wharftiller.core.sessions.endpoints import EndpointRow
 from wharftiller.core.sessions.state_versions import digest_of
 from wharftiller.daemons.sessions.connections.pool import EndpointPool
@@ -125,14 +124,6 @@
         """Return the endpoints of ``group`` that are registered."""
         return [row for row in self.rows.values() if row.entry.group == group and not row.gone]
 
-    def departed(self, group: str) -> list[DepartedEndpoint]:
-        """Return the endpoints of ``group`` that are no longer listed."""
-        return [
-            DepartedEndpoint(row.name, row.ended_by)
-            for row in self.rows.values()
-            if row.entry.group == group and row.ended_by is not None
-        ]
-
     def is_endpoint(self, address: str) -> bool:
         """Return whether a registered endpoint listens at ``address``."""
         return any(row.entry.address == address for row in self.rows.values() if not row.gone)
--- a/wharftiller/daemons/sessions/interfaces.py
+++ b/wharftiller/daemons/sessions/interfaces.py
@@ -11,6 +11,7 @@
 
     import trio
 
+    from wharftiller.core.leadership.holders import HolderSet
     from wharftiller.core.leadership.record import LeadershipRecord
     from wharftiller.core.sessions.routes import EndpointEntry
     from wharftiller.core.sessions.statements import EndpointQuery, EndpointStatus, Reply
@@ -47,6 +48,20 @@
 class EndpointDialer(Protocol):
     """Opens connections to endpoints."""
 
+    async def open_any(self, group: str, address: str) -> EndpointConnection:
+        """Open a connection to whichever endpoint of ``group`` is at ``address``.
+
+        Raises
+        ------
+        AddressRefusedError
+            If nothing listens there.
+        EndpointRefusedError
+            If an endpoint answers but refuses the connection; one of another group does.
+        ExchangeError
+            If nothing answers.
+        """
+        ...
+
     async def open(
         self, entry: EndpointEntry, via: str | None = None, workspace: str = ""
     ) -> EndpointConnection:
@@ -150,6 +165,32 @@
         ...
 
 
+class HolderObjects(Protocol):
+    """The holders of each group's writes on the platform (`HolderSet`).
+
+    Every method raises `PlatformUnavailableError` if no answer came; a change may still
+    take effect then, if its revision is still the stored one.
+    """
+
+    def is_current(self, holders: HolderSet) -> bool:
+        """Return whether ``holders`` was read since the platform's last restoration."""
+        ...
+
+    async def read(self, group: str, *, may_be_old: bool = False) -> HolderSet:
+        """Return the stored holders of ``group``; not known if there are none.
+
+        Parameters
+        ----------
+        may_be_old : bool
+            Whether an answer that is seconds old will do; it is cheaper.
+        """
+        ...
+
+    async def replace(self, group: str, holders: HolderSet) -> HolderSet:
+        """Replace those of ``holders.revision``; return the ones stored afterwards."""
+        ...
+
+
 class Promotions(Protocol):
     """Orders promotions."""
 
--- a/wharftiller/daemons/sessions/leadership/failover_monitor.py
+++ b/wharftiller/daemons/sessions/leadership/failover_monitor.py
@@ -25,6 +25,7 @@
     from wharftiller.core.leadership.record import LeadershipRecord
     from wharftiller.daemons.sessions.forwarding.gateways import Gateways
     from wharftiller.daemons.sessions.leadership.failover_runner import FailoverRunner
+    from wharftiller.daemons.sessions.leadership.holder_keeper import HolderKeeper
     from wharftiller.daemons.sessions.leadership.record_writer import RecordWriter
     from wharftiller.daemons.sessions.leadership.successors import SuccessorFinder
     from wharftiller.daemons.sessions.leadership.verification import UnverifiedPrimaries
@@ -77,6 +78,7 @@
         successors: SuccessorFinder,
         runner: FailoverRunner,
         unverified: UnverifiedPrimaries,
+        holders: HolderKeeper,
     ) -> None:
         self._state = state
         self._directory = directory
@@ -85,6 +87,7 @@
         self._successors = successors
         self._runner = runner
         self._unverified = unverified
+        self._holders = holders
         self._seen: _RevisionSeen | None = None
         self._reachable_elsewhere_at: dict[str, float] = {}
         self._started_at = trio.current_time()
@@ -134,12 +137,18 @@
     # The first record ---------------------------------------------------
 
     async def _write_first_record(self) -> None:
-        """Record the endpoints that registered as primaries."""
+        """Record the endpoints that registered as primaries.
+
+        No lease is given on a primary before it is recorded, so the holders of all writes are
+        stored before the first of them is acknowledged.
+        """
         record = self._state.leases.record
         groups = {
             group: Leading(leaders[0])
             for group in self._state.configuration.groups
-            if group not in record.groups and len(leaders := self._registered_leaders(group)) == 1
+            if group not in record.groups
+            and self._holders.is_stored(group)
+            and len(leaders := self._registered_leaders(group)) == 1
         }
         missing = [g for g in self._state.configuration.groups if g not in record.groups]
         if not groups:
--- a/wharftiller/daemons/sessions/leadership/failover_runner.py
+++ b/wharftiller/daemons/sessions/leadership/failover_runner.py
@@ -21,6 +21,7 @@
     from wharftiller.daemons.sessions.connections.probes import Prober
     from wharftiller.daemons.sessions.forwarding.gateways import Gateways
     from wharftiller.daemons.sessions.interfaces import Promotions
+    from wharftiller.daemons.sessions.leadership.complete_replicas import CompleteReplicaFinder
     from wharftiller.daemons.sessions.leadership.lease_revocation import LeaseRevoker
     from wharftiller.daemons.sessions.leadership.record_writer import RecordWriter
     from wharftiller.daemons.sessions.leadership.successors import SuccessorFinder
@@ -70,6 +71,7 @@
         writer: RecordWriter,
         revoker: LeaseRevoker,
         successors: SuccessorFinder,
+        complete_replicas: CompleteReplicaFinder,
         promotions: Promotions,
         prober: Prober,
         list_endpoints: Callable[[], Awaitable[None]],
@@ -80,6 +82,7 @@
         self._writer = writer
         self._revoker = revoker
         self._successors = successors
+        self._complete_replicas = complete_replicas
         self._promotions = promotions
         self._prober = prober
         self._list_endpoints = list_endpoints
@@ -116,7 +119,7 @@
         if not self._state.has_sync_replicas(group):
             return await self._successors.best(group, failover)
         await self._list_endpoints()
-        return await self._successors.complete_endpoint(group, failover.old.endpoint)
+        return await self._complete_replicas.complete_endpoint(group, failover.old.endpoint)
 
     async def _revoke_and_mark_ordered(self, record: LeadershipRecord) -> bool:
         """Revoke all leases, then mark the failovers as ordered; return whether they are."""
@@ -209,7 +212,7 @@
             # A replica may hold writes that has registered since the last change was received.
             await self._list_endpoints()
             old = failover.old.endpoint
-            return await self._successors.complete_replica(group, old, acknowledged)
+            return await self._complete_replicas.complete_replica(group, old, acknowledged)
         fresh_s = 0.0 if failover.planned else CANDIDATES_FRESH_S
         return await self._successors.best(group, failover, fresh_s)
 
--- a/wharftiller/daemons/sessions/leadership/successors.py
+++ b/wharftiller/daemons/sessions/leadership/successors.py
@@ -8,13 +8,10 @@
 import trio
 
 from wharftiller.core.errors import EndpointRefusedError, ExchangeError
-from wharftiller.core.leadership.completeness import AcknowledgedWrites, LogEvidence
 from wharftiller.core.leadership.failover import Candidate, best_candidate
 from wharftiller.core.leadership.record import FailingOver, Leading
-from wharftiller.core.positions import LOG_START
 
 if TYPE_CHECKING:
-    from wharftiller.core.positions import LogPosition
     from wharftiller.core.sessions.endpoints import EndpointRow
     from wharftiller.core.sessions.statements import EndpointStatus
     from wharftiller.daemons.sessions.connections.probes import Prober
@@ -39,7 +36,8 @@
 """Time within which an acknowledged promotion takes effect, in seconds."""
 
 
-def _candidate(row: EndpointRow, status: EndpointStatus) -> Candidate:
+def as_candidate(row: EndpointRow, status: EndpointStatus) -> Candidate:
+    """Return an endpoint that reported its status as a candidate."""
     is_leaving = row.leaving_since is not None
     return Candidate(row.name, status.received, row.entry.data_centre, is_leaving)
 
@@ -71,14 +69,14 @@
             for row in self._state.endpoints.of_group(group)
             if row.name != old and row.leaving_since is None
         ]
-        return [_candidate(row, status) for row, status in await self._query_all(replicas)]
+        return [as_candidate(row, status) for row, status in await self.query_all(replicas)]
 
     async def statuses(self, group: str) -> dict[str, EndpointStatus]:
         """Query the registered endpoints of ``group``; return the status of those that answer."""
-        replies = await self._query_all(self._state.endpoints.of_group(group))
+        replies = await self.query_all(self._state.endpoints.of_group(group))
         return {row.name: status for row, status in replies}
 
-    async def _query_all(self, rows: list[EndpointRow]) -> list[tuple[EndpointRow, EndpointStatus]]:
+    async def query_all(self, rows: list[EndpointRow]) -> list[tuple[EndpointRow, EndpointStatus]]:
         """Query these endpoints concurrently; return the status of those that answer."""
         replies: list[tuple[EndpointRow, EndpointStatus]] = []
 
@@ -100,80 +98,6 @@
             self._state.log.event("no_status", endpoint=row.name, why=str(error))
             return None
 
-    async def complete_replica(
-        self, group: str, old: str, acknowledged: AcknowledgedWrites
-    ) -> str | None:
-        """Return the replica that holds every acknowledged write; None if that is not certain.
-
-        Must be called once every box has stopped using ``old``, with the list of endpoints read
-        since. A leaving replica is queried like the others, and chosen if it alone holds most.
-        """
-        replies = await self._query_all(self._possible_holders(group, old))
-        best = best_candidate(_candidate(row, status) for row, status in replies if row.is_listed)
-        reported = max((status.received for _, status in replies), default=LOG_START)
-        names = {row.name for row, _ in replies}
-        evidence = self._log_evidence(group, old, names, reported, acknowledged)
-        if best is not None and evidence.shows_complete(best.received):
-            return best.name
-        received = LOG_START if best is None else best.received
-        self._state.log.event(
-            "replicas_not_known",
-            group=group,
-            best=None if best is None else best.name,
-            received=str(received),
-            reported=str(reported),
-            silent=sorted(evidence.silent),
-            departed=evidence.uncovered(received),
-            acknowledged=str(evidence.acknowledged),
-            all_boxes_told=evidence.processes_since is not None,
-        )
-        return None
-
-    async def complete_endpoint(self, group: str, old: str) -> str | None:
-        """Return an endpoint that holds every acknowledged write, which may be ``old`` itself.
-
-        Must be called once every box has stopped using ``old``. It holds all of them, also after
-        it has followed a successor that held them.
-        """
-        replies = await self._query_all(self._state.endpoints.of_group(group))
-        if any(row.name == old for row, _ in replies):
-            best = best_candidate(_candidate(row, status) for row, status in replies)
-            return None if best is None else best.name
-        return await self.complete_replica(group, old, AcknowledgedWrites())
-
-    def _possible_holders(self, group: str, old: str) -> list[EndpointRow]:
-        """Return the endpoints beside ``old`` that may hold writes and still run."""
-        now = trio.current_time()
-        return [
-            row
-            for row in self._state.endpoints.rows.values()
-            if row.entry.group == group
-            and row.name != old
-            and (row.ended_by is None or row.ended_by > now)
-        ]
-
-    def _log_evidence(
-        self,
-        group: str,
-        old: str,
-        answered: set[str],
-        reported: LogPosition,
-        acknowledged: AcknowledgedWrites,
-    ) -> LogEvidence:
-        """Return what is known of the logs of ``group``, given which endpoints answered."""
-        rows = self._state.endpoints.of_group(group)
-        listed = {row.name for row in rows if row.is_listed}
-        departed = self._state.endpoints.departed(group)
-        accounted = answered | {old}
-        return LogEvidence(
-            reported=reported,
-            silent=frozenset(listed - accounted),
-            departed=tuple(each for each in departed if each.name not in accounted),
-            points=self._state.positions.history(group),
-            acknowledged=acknowledged.newest(group),
-            processes_since=acknowledged.processes_since,
-        )
-
     async def planned_successor(self, group: str, old: str) -> Candidate | None:
         """Return the replica to which a responsive primary hands over; None if there is none yet.
 
--- a/wharftiller/daemons/sessions/membership/box_server.py
+++ b/wharftiller/daemons/sessions/membership/box_server.py
@@ -34,6 +34,9 @@
 WRITES_WAIT_S = 1.0
 """Time that in-flight writes get to end before a planned failover, in seconds."""
 
+HOLDER_PATH = "/peer/holder"
+"""Path of the question whether an endpoint of a group answers at an address."""
+
 BOX_START_S = 2.0
 """Time for a box to start, in seconds; a stopping box is avoided for its grace period and this."""
 
@@ -59,6 +62,8 @@
         Returns the part of this box's state that the requesting box lacks, as JSON.
     check_endpoints : callable
         Probes those of the named endpoints that had no recent contact.
+    handle_holder_question : callable
+        Tells whether an endpoint of a group answers at an address.
     grace_s : float
         Time between a box's stop signal and its kill, in seconds.
     """
@@ -71,6 +76,7 @@
         snapshot_server: SnapshotServer,
         state_json: Callable[[Any], dict[str, Any]],
         check_endpoints: Callable[[list[str]], Awaitable[None]],
+        handle_holder_question: Handler,
         forwarded_executor: ForwardedExecutor,
         token_server: TokenServer,
         gateway_client: GatewayClient,
@@ -89,6 +95,7 @@
             ("POST", "/peer/record"): _as_async(self._adopt_record),
             ("POST", "/peer/news"): _as_async(self._handle_change),
             ("POST", "/peer/alive"): _as_async(lambda _: {}),
+            ("POST", HOLDER_PATH): handle_holder_question,
             ("POST", "/peer/run"): forwarded_executor.run,
             ("POST", "/peer/end"): _as_async(forwarded_executor.end),
             ("POST", TOKENS_PATH): token_server.handle_token_request,
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -13,6 +13,7 @@
 from wharftiller.daemons.sessions.allowances.rate_limiter import RateLimiter
 from wharftiller.daemons.sessions.allowances.token_client import TokenClient
 from wharftiller.daemons.sessions.allowances.token_server import TokenServer
+from wharftiller.daemons.sessions.connections.address_probe import AddressProbe
 from wharftiller.daemons.sessions.connections.pool import MAINTENANCE_S
 from wharftiller.daemons.sessions.connections.probes import Prober
 from wharftiller.daemons.sessions.connections.relay import RelayServer
@@ -21,8 +22,11 @@
 from wharftiller.daemons.sessions.forwarding.gateway_client import GatewayClient
 from wharftiller.daemons.sessions.forwarding.gateways import Gateways
 from wharftiller.daemons.sessions.gauges import state_gauges
+from wharftiller.daemons.sessions.leadership.absent_holders import AbsentHolders
+from wharftiller.daemons.sessions.leadership.complete_replicas import CompleteReplicaFinder
 from wharftiller.daemons.sessions.leadership.failover_monitor import FailoverMonitor
 from wharftiller.daemons.sessions.leadership.failover_runner import FailoverRunner
+from wharftiller.daemons.sessions.leadership.holder_keeper import HolderKeeper
 from wharftiller.daemons.sessions.leadership.lease_revocation import LeaseRevoker
 from wharftiller.daemons.sessions.leadership.record_writer import RecordWriter
 from wharftiller.daemons.sessions.leadership.successors import SuccessorFinder
@@ -54,6 +58,7 @@
     from wharftiller.core.sessions.routes import SessionConfiguration
     from wharftiller.daemons.sessions.interfaces import (
         EndpointDialer,
+        HolderObjects,
         Promotions,
         SharedObjects,
         Watches,
@@ -109,6 +114,7 @@
         transport: Transport,
         dialer: EndpointDialer,
         shared: SharedObjects,
+        holder_objects: HolderObjects,
         watches: Callable[[SharedState, Callable[[], None]], Watches],
         promotions: Promotions,
         log: DecisionLog,
@@ -151,6 +157,8 @@
             self.state, self._directory, self._box, snapshots.apply
         )
         self._prober = Prober(self.state, self._directory, dialer, nursery)
+        address_probe = AddressProbe(dialer, log)
+        absent_holders = AbsentHolders(self.state, self._directory, address_probe)
         self._peer_sync = PeerSync(
             self.state,
             self._directory,
@@ -166,6 +174,7 @@
             snapshot_server,
             self._peer_sync.state_for,
             self._prober.check,
+            absent_holders.handle_question,
             self._executor,
             self._token_server,
             self._gateway_client,
@@ -175,6 +184,14 @@
         self._watches = watches(self.state, self._notify_watchers)
         writer = RecordWriter(self.state, shared, incarnation)
         successors = SuccessorFinder(self.state, self._prober)
+        self._holder_keeper = HolderKeeper(
+            self.state,
+            self._directory,
+            self._gateways,
+            holder_objects,
+            absent_holders,
+            successors,
+        )
         revoker = LeaseRevoker(
             self.state, self._directory, tombstones, self._box_server, shared, snapshots
         )
@@ -185,6 +202,7 @@
             writer,
             revoker,
             successors,
+            CompleteReplicaFinder(self.state, successors, self._holder_keeper, address_probe),
             promotions,
             self._prober,
             self._watches.list_endpoints,
@@ -197,6 +215,7 @@
             successors,
             failover_runner,
             UnverifiedPrimaries(self.state, writer, successors),
+            self._holder_keeper,
         )
         self._isolation = IsolationWatch(self.state, self._directory, self.sessions)
         self._lease_renewer = LeaseRenewer(
@@ -256,6 +275,7 @@
             self._maintain,
             self._prober.run,
             self._failover_monitor.run,
+            self._holder_keeper.run,
             self._isolation.run,
             self._runner.read_timeouts.run,
             self._gateway_client.watch_gateways,
--- a/wharftiller/edges/transport.py
+++ b/wharftiller/edges/transport.py
@@ -10,7 +10,7 @@
 
 import trio
 
-from wharftiller.core.errors import ExchangeError
+from wharftiller.core.errors import AddressRefusedError, ExchangeError
 
 Handler = Callable[[trio.abc.Stream], Awaitable[None]]
 
@@ -32,6 +32,8 @@
 
         Raises
         ------
+        AddressRefusedError
+            If the host refuses the connection, as no process listens there.
         ExchangeError
             If the address cannot be reached.
         """
@@ -79,6 +81,9 @@
             raise ExchangeError(f"no socket for {address}: {error.strerror}") from error
         try:
             await sock.connect((host, port))
+        except ConnectionRefusedError as error:
+            sock.close()
+            raise AddressRefusedError(f"{address} refuses connections") from error
         except OSError as error:
             sock.close()
             raise ExchangeError(f"{address} cannot be reached: {error.strerror}") from error
--- a/wharftiller/platform/__main__.py
+++ b/wharftiller/platform/__main__.py
@@ -17,6 +17,7 @@
 from wharftiller.edges.transport import CountedTransport, TcpTransport
 from wharftiller.platform.callers import CallerServer
 from wharftiller.platform.endpoints import LineDialer
+from wharftiller.platform.holders import PlatformHolders
 from wharftiller.platform.objects import SharedPlatformObjects, decode_configuration
 from wharftiller.platform.promotions import PlatformPromotions
 from wharftiller.platform.settings import ProcessSettings, load_settings
@@ -110,6 +111,7 @@
             self._transport,
             LineDialer(self._transport, settings.box),
             SharedPlatformObjects(store, self._log),
+            PlatformHolders(store, self._log),
             make_watches,
             PlatformPromotions(self._transport, settings.duties),
             self._log,
--- a/wharftiller/platform/endpoints.py
+++ b/wharftiller/platform/endpoints.py
@@ -86,9 +86,20 @@
             stream = await self._transport.connect(entry.address)
         else:
             stream = await open_via_relay(self._transport, via, entry.address)
+        greeting = f"CONNECT {entry.group} {workspace or self._box} {entry.name}\r\n"
+        return await self._greet(stream, greeting, entry.name)
+
+    async def open_any(self, group: str, address: str) -> LineConnection:
+        """Open a connection to whichever endpoint of ``group`` is at ``address``."""
+        stream = await self._transport.connect(address)
+        greeting = f"CONNECT {group} {self._box}\r\n"
+        return await self._greet(stream, greeting, f"the endpoint at {address}")
+
+    async def _greet(self, stream: trio.abc.Stream, greeting: str, endpoint: str) -> LineConnection:
+        """Send the greeting; close the stream unless the endpoint accepts it."""
         connection: LineConnection | None = None
         try:
-            connection = await self._handshake(stream, entry, workspace or self._box)
+            connection = await self._handshake(stream, greeting, endpoint)
             return connection
         finally:
             if connection is None:
@@ -96,26 +107,24 @@
                     await trio.aclose_forcefully(stream)
 
     @staticmethod
-    async def _handshake(
-        stream: trio.abc.Stream, entry: EndpointEntry, user: str
-    ) -> LineConnection:
+    async def _handshake(stream: trio.abc.Stream, greeting: str, endpoint: str) -> LineConnection:
         reader = LineReader(stream)
-        greeting = f"CONNECT {entry.group} {user} {entry.name}\r\n"
         try:
             await stream.send_all(greeting.encode())
         except trio.BrokenResourceError as error:
-            raise ExchangeError(f"{entry.name} broke the new connection: {error}") from None
+            raise ExchangeError(f"{endpoint} broke the new connection: {error}") from None
         line = await reader.line()
         if line is None:
-            raise ExchangeError(f"{entry.name} closed the new connection")
+            raise ExchangeError(f"{endpoint} closed the new connection")
         if line.startswith(b"READY "):
             return LineConnection(stream, reader)
         refusal = parse_refusal(decode(line.removeprefix(b"ERROR ")))
         match refusal.kind:
             case RefusalKind.TOO_MANY_CONNECTIONS:
-                raise EndpointRefusedError(f"{entry.name} has too many connections", at_limit=True)
+                raise EndpointRefusedError(f"{endpoint} has too many connections", at_limit=True)
             case RefusalKind.WRONG_ENDPOINT:
-                detail = f"another endpoint than {entry.name} is at {entry.address}"
-                raise EndpointRefusedError(detail, at_limit=False)
+                raise EndpointRefusedError(
+                    f"another endpoint than {endpoint} answers", at_limit=False
+                )
             case _:
-                raise ExchangeError(f"{entry.name} refused: {refusal.detail}")
+                raise ExchangeError(f"{endpoint} refused: {refusal.detail}")
--- a/wharftiller/platform/objects.py
+++ b/wharftiller/platform/objects.py
@@ -62,6 +62,9 @@
 RECORD_NAME = "leadership"
 """Name of the object with the leadership record."""
 
+HOLDERS_PREFIX = "holders."
+"""Prefix of a group's name in the name of the object with the holders of its writes."""
+
 ERA_FIELD = "era"
 """Field of the leadership record: era of the platform's store in which it was written."""
 
@@ -69,7 +72,7 @@
 """Prefix of a box's name in the name of its object."""
 
 BOX_PREFIX_END = "box/"
-"""Sorts after the names of all boxes' objects and before the leadership record's: lists are sorted
+"""Sorts after the names of all boxes' objects and before the names of all others: lists are sorted
 by name."""
 
 MAX_REGISTRATION_ATTEMPTS = 3
--- a/wharftiller/platform/store.py
+++ b/wharftiller/platform/store.py
@@ -167,6 +167,20 @@
                 return objects, revision
             query = f"?after={quote(items[-1].name)}"
 
+    async def get(self, kind: str, name: str, *, may_be_old: bool = False) -> StoredObject | None:
+        """Return one object; None if there is none.
+
+        Parameters
+        ----------
+        may_be_old : bool
+            Whether an answer that is seconds old will do; such reads are not counted by the rate.
+        """
+        path = _object_path(kind, name) + ("?AllowStale=1" if may_be_old else "")
+        answer = await self._call("GET", path)
+        if answer.status == 404:
+            return None
+        return _expect_object(path, answer)
+
     async def put(self, kind: str, name: str, spec: Any, revision: int | None) -> StoredObject:
         """Replace or create an object; return the one stored afterwards.
 
@@ -177,7 +191,7 @@
             None replaces it unconditionally.
         """
         meta: dict[str, Any] = {"Name": name, "Finalizers": []}
-        path = f"/v1/objects/{kind}/{name}"
+        path = _object_path(kind, name)
         if revision:
             if era_of(revision) != self.era:
                 return await self._read_one(path)
@@ -195,16 +209,13 @@
 
     async def _read_one(self, path: str) -> StoredObject:
         """Return the stored object: the revision to be replaced belongs to an earlier era."""
-        answer = await self._call("GET", path)
-        if answer.status != 200:
-            raise PlatformUnavailableError(f"reading {path} was answered {answer.status}")
-        return parse_object(answer.value, answer.era)
+        return _expect_object(path, await self._call("GET", path))
 
     async def delete(self, kind: str, name: str, revision: int) -> bool:
         """Delete an object if it is at ``revision``; return whether it is gone."""
         if era_of(revision) != self.era:
             return False
-        path = f"/v1/objects/{kind}/{name}?Revision={revision % ERA_REVISIONS}"
+        path = f"{_object_path(kind, name)}?Revision={revision % ERA_REVISIONS}"
         answer = await self._call("DELETE", path)
         if answer.status in (200, 204, 404):
             return True
@@ -236,6 +247,18 @@
             raise PlatformUnavailableError(f"invalid change of {kind}: {error!r}") from None
 
 
+def _object_path(kind: str, name: str) -> str:
+    """Return the path of one object, whose name may contain any character."""
+    return f"/v1/objects/{kind}/{quote(name, safe='')}"
+
+
+def _expect_object(path: str, answer: _Answer) -> StoredObject:
+    """Return the object that a read of ``path`` was answered with."""
+    if answer.status != 200:
+        raise PlatformUnavailableError(f"reading {path} was answered {answer.status}")
+    return parse_object(answer.value, answer.era)
+
+
 def _revision(number: Any, era: int) -> int:
     """Return the platform's revision combined with its era."""
     return era * ERA_REVISIONS + int(number)
--- a/wharftiller/tests/core/leadership/test_completeness.py
+++ b/wharftiller/tests/core/leadership/test_completeness.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 import pytest
 
 from wharftiller.core.freshness import FreshPoint, FreshPoints
 from wharftiller.core.leadership.completeness import (
+    AbsentHolder,
     AcknowledgedWrites,
     AcknowledgementReport,
-    DepartedEndpoint,
     LogEvidence,
 )
 from wharftiller.core.positions import LOG_START, LogPosition
@@ -34,7 +35,8 @@
     values: dict[str, Any] = {
         "reported": at(5),
         "silent": frozenset(),
-        "departed": (),
+        "absent": (),
+        "knows_holders": True,
         "points": known((10.0, 3), (20.0, 5)),
         "acknowledged": at(5),
         "processes_since": None,
@@ -53,16 +55,33 @@
         assert not evidence(silent=frozenset({"i-2"})).shows_complete(at(5))
 
     @pytest.mark.parametrize(
-        ("ended_by", "received", "complete"),
-        [(9.0, 5, True), (9.0, 3, True), (11.0, 4, False), (11.0, 5, True), (21.0, 5, False)],
+        ("ended_at", "received", "complete"),
+        [
+            (9.0, 5, True),
+            (9.0, 3, True),
+            (11.0, 4, False),
+            (11.0, 5, True),
+            (21.0, 5, False),
+            (math.inf, 5, False),
+        ],
+    )
+    def test_a_holder_that_ended_is_covered_by_a_later_position_of_the_primary(
+        self, ended_at: float, received: int, complete: bool
+    ) -> None:
+        absent = (AbsentHolder("10.2.2.1:5", ended_at),)
+        found = evidence(reported=at(received), absent=absent)
+        assert found.shows_complete(at(received)) is complete
+        assert found.uncovered(at(received)) == ([] if complete else ["10.2.2.1:5"])
+
+    @pytest.mark.parametrize(
+        ("points", "received", "complete"),
+        [(((10.0, 3), (20.0, 5)), 5, True), (((10.0, 3),), 2, False), ((), 5, False)],
     )
-    def test_a_departed_endpoint_is_covered_by_a_later_position_of_the_primary(
-        self, ended_by: float, received: int, complete: bool
+    def test_unknown_holders_are_covered_by_the_first_known_position_of_the_primary(
+        self, points: tuple[tuple[float, int], ...], received: int, complete: bool
     ) -> None:
-        departed = (DepartedEndpoint("i-2", ended_by),)
-        found = evidence(reported=at(received), departed=departed)
+        found = evidence(reported=at(received), knows_holders=False, points=known(*points))
         assert found.shows_complete(at(received)) is complete
-        assert found.uncovered(at(received)) == ([] if complete else ["i-2"])
 
 
 class TestAcknowledged:
--- a/wharftiller/tests/daemons/sessions/connections/test_pool.py
+++ b/wharftiller/tests/daemons/sessions/connections/test_pool.py
@@ -79,6 +79,9 @@
         self.free -= 1
         return FakeConnection(self)
 
+    async def open_any(self, group: str, address: str) -> FakeConnection:
+        raise AssertionError("a pool opens connections only to the endpoint that it knows")
+
 
 def session() -> Session:
     return Session(1, "seats-db", "desk")
