--- a/wharftiller/tests/platform/test_holders.py
+++ b/wharftiller/tests/platform/test_holders.py
@@ -48,6 +48,9 @@
 SUCCESSOR_S = 8.0
 """Time after a restart of all boxes within which a replica in step leads, in seconds."""
 
+SERVES_ON_S = 10.0
+"""Time for which a replica has served on once its entry went, in seconds: `DrainMs` and more."""
+
 GONE_LONG_S = 25.0
 """Time after which a holder that crashed without a word is no longer waited for, in seconds."""
 
@@ -176,6 +179,30 @@
         run_with_synchronous_replicas(scenario)
 
 
+class TestUnregisteredReplica:
+    """A replica whose entry went without a word serves on, and alone holds writes."""
+
+    @pytest.mark.parametrize("restart", [None, *RESTARTS])
+    def test_a_lagging_replica_is_not_promoted_while_it_serves(
+        self, restart: Callable[[World], Any] | None
+    ) -> None:
+        async def scenario(world: World) -> None:
+            old, removed, other = world.groups[0].servers
+            world.store.remove("servers", removed.name)
+            await trio.sleep(SERVES_ON_S)
+            other.replication_suspended = True
+            seats = await write_seats(world)
+            await trio.sleep(1.0)
+            world.kill_server(old)
+            if restart is not None:
+                await restart(world)
+            await trio.sleep(CRASH_S)
+            assert not other.leads
+            await check_nothing_lost(world, old, seats)
+
+        run_with_synchronous_replicas(scenario)
+
+
 class TestNothingCanBeLost:
     """All boxes restart and the primary never returns: a replica in step takes over."""
 
@@ -223,6 +250,23 @@
 
         run_with_synchronous_replicas(scenario)
 
+    @pytest.mark.parametrize("restart", RESTARTS)
+    def test_beside_a_replica_that_serves_on_without_an_entry(
+        self, restart: Callable[[World], Any]
+    ) -> None:
+        async def scenario(world: World) -> None:
+            old, removed, other = world.groups[0].servers
+            world.store.remove("servers", removed.name)
+            await trio.sleep(SERVES_ON_S)
+            seats = await write_seats(world)
+            await trio.sleep(0.2)
+            world.kill_server(old)
+            await restart(world)
+            await wait_until(lambda: other.leads, SUCCESSOR_S)
+            assert seats <= seats_of(other)
+
+        run_with_synchronous_replicas(scenario)
+
     def test_beside_a_former_primary_that_never_returned(self) -> None:
         async def scenario(world: World) -> None:
             group = world.groups[0]
