Put off a failover without a complete replica, so that other groups do not wait

What callers saw: while one group with synchronous replicas waited for its primary, as no replica was known to hold every acknowledged write, no other group got a new primary: its bookings were refused for as long. A primary that was about to leave stood still while no replica kept up.

Cause: the failovers of all groups are in one record, and no other starts while it holds one. A failover without a complete replica stayed in it and was tried again every 0.5 s.

Change: such a failover is taken out of the record, as a cancelled one is: nothing was ordered.

--- a/wharftiller/daemons/sessions/leadership/failover_monitor.py
+++ b/wharftiller/daemons/sessions/leadership/failover_monitor.py
@@ -24,6 +24,7 @@
     from wharftiller.core.leadership.failover import Candidate
     from wharftiller.core.leadership.record import LeadershipRecord
     from wharftiller.daemons.sessions.forwarding.gateways import Gateways
+    from wharftiller.daemons.sessions.leadership.attempts import FailoverAttempts
     from wharftiller.daemons.sessions.leadership.failover_runner import FailoverRunner
     from wharftiller.daemons.sessions.leadership.holder_keeper import HolderKeeper
     from wharftiller.daemons.sessions.leadership.record_writer import RecordWriter
@@ -79,6 +80,7 @@
         runner: FailoverRunner,
         unverified: UnverifiedPrimaries,
         holders: HolderKeeper,
+        attempts: FailoverAttempts,
     ) -> None:
         self._state = state
         self._directory = directory
@@ -88,6 +90,7 @@
         self._runner = runner
         self._unverified = unverified
         self._holders = holders
+        self._attempts = attempts
         self._seen: _RevisionSeen | None = None
         self._reachable_elsewhere_at: dict[str, float] = {}
         self._started_at = trio.current_time()
@@ -111,6 +114,7 @@
         if is_settled:
             await self._write_first_record()
         record = self._state.leases.record
+        self._attempts.record(record)
         if not is_settled and not _needs_verification_only(record):
             return
         if record.failovers and record.holder == self._writer.incarnation:
@@ -183,6 +187,7 @@
                 if failover is not None:
                     changed = changed.with_group(group, failover)
         if changed.failovers:
+            self._attempts.record(changed)
             await self._writer.write(changed)
 
     async def _needed_failover(self, group: str, leading: Leading) -> FailingOver | None:
@@ -196,9 +201,13 @@
             return None
         rank = self._rank(group)
         planned = row is not None and must_hand_over(row, rank, now)
+        if not planned and not is_lost(row, rank, now):
+            return None
+        if not await self._attempts.may_start(group, leading.endpoint, rank, planned=planned):
+            return None
         if planned:
             best = await self._successors.planned_successor(group, leading.endpoint)
-        elif is_lost(row, rank, now) and not self._was_reachable_elsewhere(group, now):
+        elif not self._was_reachable_elsewhere(group, now):
             best = await self._successor_of_lost(group, leading.endpoint, rank)
         else:
             return None
--- a/wharftiller/daemons/sessions/leadership/failover_runner.py
+++ b/wharftiller/daemons/sessions/leadership/failover_runner.py
@@ -93,6 +93,8 @@
             if not await self._revoke_and_mark_ordered(record):
                 return
             record = self._state.leases.record
+            if not record.failovers:
+                return
         asked_at = self._writer.asked_at(record)
         if trio.current_time() - asked_at > SEND_WINDOW_S:
             await self._writer.write(self._writer.as_holder(record))
@@ -142,11 +144,14 @@
             answering.update(await self._probe_lost_primaries(record))
         if await self._cancel_answering(record, answering):
             return False
-        ready = await self._with_ordered_successors(record, acknowledged)
-        if ready is None:
-            await trio.sleep(INCOMPLETE_RETRY_S)
-            return False
-        return await self._writer.write(ready)
+        decided = await self._with_ordered_successors(record, acknowledged)
+        undecided = record.failovers.keys() - decided.failovers.keys()
+        if undecided:
+            self._state.log.change("change_of_primary_put_off", groups=sorted(undecided))
+        is_written = await self._writer.write(decided)
+        if undecided:
+            await self._send_record(undecided)
+        return is_written
 
     async def _cancel_answering(self, record: LeadershipRecord, answering: set[str]) -> bool:
         """Cancel the failovers of the groups ``answering``; return whether there are any."""
@@ -185,16 +190,20 @@
 
     async def _with_ordered_successors(
         self, record: LeadershipRecord, acknowledged: AcknowledgedWrites
-    ) -> LeadershipRecord | None:
+    ) -> LeadershipRecord:
         """Return the record with each failover's final successor, marked as ordered.
 
-        None while a group that replicates writes before they are acknowledged has no successor
-        known to hold all of them.
+        A group that replicates writes before they are acknowledged keeps its old primary while no
+        successor is known to hold all of them: other groups' failovers do not wait for it, and
+        an old primary that is about to leave, or returns, serves on.
         """
         for group, failover in record.failovers.items():
+            if failover.ordered:
+                continue
             best = await self._final_successor(group, failover, acknowledged)
             if best is None:
-                return None
+                record = record.with_group(group, failover.old)
+                continue
             ordered = attrs.evolve(failover, successor=best, ordered=True)
             record = record.with_group(group, ordered)
         return record
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -23,6 +23,7 @@
 from wharftiller.daemons.sessions.forwarding.gateways import Gateways
 from wharftiller.daemons.sessions.gauges import state_gauges
 from wharftiller.daemons.sessions.leadership.absent_holders import AbsentHolders
+from wharftiller.daemons.sessions.leadership.attempts import FailoverAttempts
 from wharftiller.daemons.sessions.leadership.complete_replicas import CompleteReplicaFinder
 from wharftiller.daemons.sessions.leadership.failover_monitor import FailoverMonitor
 from wharftiller.daemons.sessions.leadership.failover_runner import FailoverRunner
@@ -195,6 +196,9 @@
         revoker = LeaseRevoker(
             self.state, self._directory, tombstones, self._box_server, shared, snapshots
         )
+        complete_replicas = CompleteReplicaFinder(
+            self.state, successors, self._holder_keeper, address_probe
+        )
         failover_runner = FailoverRunner(
             self.state,
             self._directory,
@@ -202,7 +206,7 @@
             writer,
             revoker,
             successors,
-            CompleteReplicaFinder(self.state, successors, self._holder_keeper, address_probe),
+            complete_replicas,
             promotions,
             self._prober,
             self._watches.list_endpoints,
@@ -216,6 +220,7 @@
             failover_runner,
             UnverifiedPrimaries(self.state, writer, successors),
             self._holder_keeper,
+            FailoverAttempts(self.state, complete_replicas),
         )
         self._isolation = IsolationWatch(self.state, self._directory, self.sessions)
         self._lease_renewer = LeaseRenewer(
