Count holders that are not registered beside an unverified primary

What callers saw: with SyncReplicas 1, acknowledged bookings were gone after the platform came back from a copy while all boxes had ended, the primary was down and the replica that alone held the bookings had left.

Cause: an unverified primary is replaced with one endpoint of its group silent, as a commit is on two. Only registered endpoints were counted, and those that this process had seen vanish; a process that has just started has seen none.

Change: stored holders that are not registered are asked at their address and count as silent otherwise.

--- a/wharftiller/core/leadership/verification.py
+++ b/wharftiller/core/leadership/verification.py
@@ -32,7 +32,8 @@
     statuses : dict of str to EndpointStatus
         Status reported by each endpoint that answered, by name.
     silent : frozenset of str
-        Registered endpoints that did not answer.
+        Registered endpoints that did not answer; where replicas are synchronous, also the
+        addresses of other holders of writes that did not.
     vanished : frozenset of str
         Endpoints that were registered and are gone without having announced that they leave.
     unverified_s : float
--- a/wharftiller/daemons/sessions/leadership/complete_replicas.py
+++ b/wharftiller/daemons/sessions/leadership/complete_replicas.py
@@ -122,6 +122,20 @@
             return None if best is None else best.name
         return await self.complete_replica(group, old, AcknowledgedWrites())
 
+    async def silent_holders(self, group: str) -> frozenset[str]:
+        """Return the addresses of holders that are not registered and report no log.
+
+        Raises
+        ------
+        PlatformUnavailableError
+            If the stored holders cannot be read.
+        """
+        holders = await self._keeper.fetch(group)
+        rows = self._state.endpoints.of_group(group)
+        addresses = holders.members.keys() - {row.entry.address for row in rows}
+        statuses = await self._query_addresses(group, addresses)
+        return frozenset(addresses - statuses.keys())
+
     async def _query_holders(self, group: str, old: str, holders: HolderSet) -> _HolderReports:
         """Query the registered endpoints and all other holders, without the old primary."""
         rows = self._state.endpoints.of_group(group)
--- a/wharftiller/daemons/sessions/leadership/verification.py
+++ b/wharftiller/daemons/sessions/leadership/verification.py
@@ -18,6 +18,7 @@
     from wharftiller.core.leadership.record import LeadershipRecord, Leading
     from wharftiller.core.sessions.endpoints import EndpointRow
     from wharftiller.core.sessions.statements import EndpointStatus
+    from wharftiller.daemons.sessions.leadership.complete_replicas import CompleteReplicaFinder
     from wharftiller.daemons.sessions.leadership.record_writer import RecordWriter
     from wharftiller.daemons.sessions.leadership.successors import SuccessorFinder
     from wharftiller.daemons.sessions.state import SharedState
@@ -36,11 +37,16 @@
     """Verifies primaries by this box's leases, else finds the endpoint to promote."""
 
     def __init__(
-        self, state: SharedState, writer: RecordWriter, successors: SuccessorFinder
+        self,
+        state: SharedState,
+        writer: RecordWriter,
+        successors: SuccessorFinder,
+        complete_replicas: CompleteReplicaFinder,
     ) -> None:
         self._state = state
         self._writer = writer
         self._successors = successors
+        self._complete_replicas = complete_replicas
         self._era = -1
         self._since = math.inf
         self._queried_at: dict[str, float] = {}
@@ -84,10 +90,13 @@
         self._queried_at[group] = now
         statuses = await self._successors.statuses(group)
         rows = self._rows_of(group)
+        silent = frozenset(row.name for row in rows if not row.gone) - statuses.keys()
+        if self._state.has_sync_replicas(group):
+            silent |= await self._complete_replicas.silent_holders(group)
         limits = self._state.configuration.groups.get(group)
         evidence = VerificationEvidence(
             statuses,
-            silent=frozenset(r.name for r in rows if not r.gone) - statuses.keys(),
+            silent=silent,
             vanished=frozenset(r.name for r in rows if r.gone and not r.entry.leaving),
             unverified_s=unverified_s,
             is_settled=self._state.leases.is_settled(trio.current_time()),
--- a/wharftiller/daemons/sessions/proxy.py
+++ b/wharftiller/daemons/sessions/proxy.py
@@ -218,7 +218,7 @@
             writer,
             successors,
             failover_runner,
-            UnverifiedPrimaries(self.state, writer, successors),
+            UnverifiedPrimaries(self.state, writer, successors, complete_replicas),
             self._holder_keeper,
             FailoverAttempts(self.state, complete_replicas),
         )
--- a/wharftiller/tests/platform/test_holders.py
+++ b/wharftiller/tests/platform/test_holders.py
@@ -51,6 +51,9 @@
 SERVES_ON_S = 10.0
 """Time for which a replica has served on once its entry went, in seconds: `DrainMs` and more."""
 
+UNVERIFIED_S = 30.0
+"""Time within which an unverified primary is replaced, in seconds."""
+
 GONE_LONG_S = 25.0
 """Time after which a holder that crashed without a word is no longer waited for, in seconds."""
 
@@ -179,6 +182,51 @@
         run_with_synchronous_replicas(scenario)
 
 
+class TestRestoredPlatform:
+    """All boxes have ended when the platform is restored, so the primary is unverified."""
+
+    @pytest.mark.parametrize("backup_s", [0.5, DRAIN_S])
+    def test_a_lagging_replica_is_not_promoted(self, backup_s: float) -> None:
+        async def scenario(world: World) -> None:
+            old, leaving, other = world.groups[0].servers
+            start_leaving(world, leaving)
+            await trio.sleep(DRAIN_S - backup_s)
+            backup = world.store.copy()
+            await trio.sleep(backup_s)
+            other.replication_suspended = True
+            seats = await write_seats(world)
+            end_server(world, leaving)
+            world.kill_server(old)
+            for number in range(1, BOXES + 1):
+                await world.kill_box(world.boxes[f"box-{number}"])
+            world.store.restore(backup)
+            for number in range(1, BOXES + 1):
+                await world.start_box(number, "abca"[number - 1])
+            await trio.sleep(UNVERIFIED_S)
+            assert not other.leads
+            await check_nothing_lost(world, old, seats)
+
+        run_with_synchronous_replicas(scenario)
+
+    def test_a_replica_in_step_takes_over(self) -> None:
+        async def scenario(world: World) -> None:
+            group = world.groups[0]
+            old = group.servers[0]
+            backup = world.store.copy()
+            seats = await write_seats(world)
+            await trio.sleep(0.2)
+            world.kill_server(old)
+            for number in range(1, BOXES + 1):
+                await world.kill_box(world.boxes[f"box-{number}"])
+            world.store.restore(backup)
+            for number in range(1, BOXES + 1):
+                await world.start_box(number, "abca"[number - 1])
+            await wait_until(lambda: group.primary is not old, UNVERIFIED_S)
+            assert seats <= seats_of(group.primary)
+
+        run_with_synchronous_replicas(scenario)
+
+
 class TestUnregisteredReplica:
     """A replica whose entry went without a word serves on, and alone holds writes."""
 
