Decode lists and watches of the platform object by object

No process ended here.

Cause: the body of a list or watch was decoded as a whole, so that one object that JSON's decoder refuses (nesting of more than 1,024 levels, numbers that no double holds, half of a surrogate pair, bytes that are no UTF-8) failed all of it. Some entries to which no connection can be opened were taken for endpoints.

Change: a body that cannot be decoded is split into its objects by brackets and strings alone, without recursion (edges/json_parts.py), and each is decoded on its own (platform/answers.py). An object whose fields cannot be decoded keeps its name, so an endpoint of that name is no longer listed; one without a readable name or revision is left out (objects_left_out). Names, groups, data centres and addresses of endpoints must be words of the line protocol, ports plain digits from 1 to 65535. Entries of boxes and the record are checked likewise.

Why own code: decoders of the registry refuse the text as a whole too, or recurse.

--- a/wharftiller/edges/holders_json.py
+++ b/wharftiller/edges/holders_json.py
@@ -40,5 +40,5 @@
 
 def _names(value: Any) -> tuple[str, ...]:
     if not isinstance(value, list) or not all(isinstance(each, str) for each in value):
-        raise ValueError(f"{value!r} is no list of names")
+        raise ValueError("the names at an address are no list of texts")
     return tuple(value)
--- a/wharftiller/edges/http_client.py
+++ b/wharftiller/edges/http_client.py
@@ -61,14 +61,24 @@
             If it is not JSON.
         """
         try:
-            return orjson.loads(self._decompressed_body())
-        except (orjson.JSONDecodeError, zlib.error) as error:
+            return orjson.loads(self.content())
+        except orjson.JSONDecodeError as error:
             raise ExchangeError(f"the answer is not JSON: {error}. Check the peer") from None
 
-    def _decompressed_body(self) -> bytes:
+    def content(self) -> bytes:
+        """Return the decompressed body.
+
+        Raises
+        ------
+        ExchangeError
+            If it cannot be decompressed.
+        """
         if self.headers.get("content-encoding") != "deflate":
             return self.body
-        return zlib.decompressobj().decompress(self.body, MAX_DECOMPRESSED_BYTES)
+        try:
+            return zlib.decompressobj().decompress(self.body, MAX_DECOMPRESSED_BYTES)
+        except zlib.error as error:
+            raise ExchangeError(f"the answer is not compressed: {error}. Check the peer") from None
 
 
 class HttpConnection:
--- a/wharftiller/edges/leadership_json.py
+++ b/wharftiller/edges/leadership_json.py
@@ -66,7 +66,7 @@
             value.get("written_back") is True,
             era=int(value.get("era") or 0),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, RecursionError) as error:
         raise BadRequestError(
             f"no record of leadership: {error!r}. Delete the object; boxes write it anew"
         ) from None
--- a/wharftiller/edges/transport.py
+++ b/wharftiller/edges/transport.py
@@ -57,7 +57,9 @@
     host, _, port = address.rpartition(":")
     try:
         ipaddress.ip_address(host.strip("[]"))
-        number = int(port)
+        number = _whole_number(port)
+        if "%" in host:
+            raise ValueError("the scope of an interface means nothing on another host")
     except ValueError:
         raise ValueError(
             f"{address!r} is no address; write an IP number and a port, like '10.0.0.7:7000'"
@@ -67,6 +69,13 @@
     return host.strip("[]"), number
 
 
+def _whole_number(text: str) -> int:
+    """Return the number that ASCII digits alone make."""
+    if not (text.isascii() and text.isdigit()):
+        raise ValueError(f"{text!r} is no whole number")
+    return int(text)
+
+
 class TcpTransport:
     """Streams over TCP."""
 
--- a/wharftiller/platform/holders.py
+++ b/wharftiller/platform/holders.py
@@ -7,12 +7,13 @@
 from wharftiller.core.errors import BadRequestError
 from wharftiller.core.leadership.holders import HolderSet
 from wharftiller.edges.holders_json import holders_from_json, holders_to_json
+from wharftiller.platform.answers import era_of
 from wharftiller.platform.objects import HOLDERS_PREFIX, OWN_KIND
-from wharftiller.platform.store import era_of
 
 if TYPE_CHECKING:
     from wharftiller.decisions import DecisionLog
-    from wharftiller.platform.store import ObjectStore, StoredObject
+    from wharftiller.platform.answers import StoredObject
+    from wharftiller.platform.store import ObjectStore
 
 
 class PlatformHolders:
--- a/wharftiller/platform/objects.py
+++ b/wharftiller/platform/objects.py
@@ -31,14 +31,16 @@
 )
 from wharftiller.daemons.sessions.interfaces import PlatformSnapshot
 from wharftiller.daemons.sessions.membership.box import Box
+from wharftiller.edges.json_parts import Unreadable
 from wharftiller.edges.leadership_json import record_from_json, record_to_json
 from wharftiller.edges.transport import split_address
-from wharftiller.platform.store import era_of
+from wharftiller.platform.answers import era_of
 
 if TYPE_CHECKING:
     from wharftiller.core.sessions.bounds import PlatformBounds
     from wharftiller.decisions import DecisionLog
-    from wharftiller.platform.store import ObjectStore, StoredObject
+    from wharftiller.platform.answers import StoredObject
+    from wharftiller.platform.store import ObjectStore
 
 CONFIGURATION_KIND = "config"
 CONFIGURATION_NAME = "main"
@@ -53,6 +55,9 @@
 ENDPOINT_STATES = frozenset({"ready", LEAVING_STATE})
 """Values of an endpoint's role and state."""
 
+MAX_WORD = 255
+"""Characters of an endpoint's name, group, data centre or address."""
+
 STARTED_FIELD = "born"
 """Field with the start time of an endpoint's process, in milliseconds of Unix time."""
 
@@ -120,7 +125,7 @@
     """
     try:
         return _decode_configuration(document, needs_workspaces)
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError, RecursionError) as error:
         # The text of a ValueError contains the value, which may be a secret.
         why = f"no {error}" if isinstance(error, KeyError) else type(error).__name__
         raise ConfigurationError(
@@ -209,19 +214,16 @@
         If a field is missing or invalid.
     """
     spec = stored.spec
+    if isinstance(spec, Unreadable):
+        raise InvalidEndpointError(f"it cannot be decoded: {spec.why}")
     if not isinstance(spec, dict):
         raise InvalidEndpointError("it is not a table of fields")
-    address = _text(spec, "Address")
-    try:
-        split_address(address)
-    except ValueError as error:
-        raise InvalidEndpointError(str(error)) from None
     state = _choice(spec, "State", ENDPOINT_STATES)
     return EndpointEntry(
-        name=stored.name,
-        group=_text(spec, "Service"),
-        address=address,
-        data_centre=_text(spec, "Zone"),
+        name=_checked_word("name", stored.name),
+        group=_word(spec, "Service"),
+        address=_address(spec),
+        data_centre=_word(spec, "Zone"),
         leads=_choice(spec, "DbRole", ENDPOINT_ROLES) == PRIMARY_ROLE,
         leaving=state == LEAVING_STATE,
         leaving_serves_s=bounds.leaving_serves_s,
@@ -236,6 +238,31 @@
     return value
 
 
+def _word(spec: dict[str, Any], name: str) -> str:
+    return _checked_word(name, _text(spec, name))
+
+
+def _checked_word(name: str, value: str) -> str:
+    """Return a text that is one field of a line of the line protocol."""
+    if not value.isprintable() or " " in value or len(value) > MAX_WORD:
+        raise InvalidEndpointError(
+            f"its {name} has blanks, control characters or more than {MAX_WORD} characters"
+        )
+    return value
+
+
+def _address(spec: dict[str, Any]) -> str:
+    """Return the address of an endpoint, to which connections can be opened."""
+    address = _checked_word("Address", _text(spec, "Address"))
+    try:
+        _, port = split_address(address)
+    except ValueError as error:
+        raise InvalidEndpointError(str(error)) from None
+    if port == 0:
+        raise InvalidEndpointError(f"its Address {address!r} has port 0, where nothing listens")
+    return address
+
+
 def _choice(spec: dict[str, Any], name: str, allowed: frozenset[str]) -> str:
     value = _text(spec, name)
     if value not in allowed:
@@ -277,7 +304,8 @@
     def _log_invalid(self, stored: StoredObject, why: str) -> None:
         if self._reported.get(stored.name) != stored.revision:
             self._reported[stored.name] = stored.revision
-            self._log.event("endpoint_not_understood", endpoint=stored.name, why=why)
+            name = stored.name[:MAX_WORD]
+            self._log.event("endpoint_not_understood", endpoint=name, why=why)
 
 
 class SharedPlatformObjects:
@@ -334,12 +362,17 @@
         return PlatformSnapshot(record, boxes, revision, tombstones, revisions)
 
     def _decode_box(self, stored: StoredObject) -> Box | None:
-        try:
-            values = {each.name: str(stored.spec.get(each.name, "")) for each in attrs.fields(Box)}
-            return Box(**values) if values["address"] else None
-        except (AttributeError, TypeError) as error:
-            self._log.event("box_not_understood", name=stored.name, why=repr(error))
+        if not isinstance(stored.spec, dict):
+            self._log_odd_box(stored, "it is not a table of fields")
             return None
+        values = {each.name: stored.spec.get(each.name, "") for each in attrs.fields(Box)}
+        if not all(isinstance(value, str) for value in values.values()):
+            self._log_odd_box(stored, "a field is no text")
+            return None
+        return Box(**values) if values["address"] else None
+
+    def _log_odd_box(self, stored: StoredObject, why: str) -> None:
+        self._log.event("box_not_understood", name=stored.name[:MAX_WORD], why=why)
 
     def _record(self, stored: StoredObject) -> LeadershipRecord:
         try:
--- a/wharftiller/platform/store.py
+++ b/wharftiller/platform/store.py
@@ -9,10 +9,19 @@
 
 from wharftiller.core.errors import ExchangeError, PlatformUnavailableError
 from wharftiller.edges.http_client import HttpClient
+from wharftiller.platform.answers import (
+    ERA_REVISIONS,
+    decode_object,
+    era_of,
+    parse_changes,
+    parse_object,
+    parse_page,
+)
 
 if TYPE_CHECKING:
     from wharftiller.decisions import DecisionLog
     from wharftiller.edges.transport import Transport
+    from wharftiller.platform.answers import StoredObject, WatchedChanges
 
 CALL_TIMEOUT_S = 0.8
 """Time limit of a call, in seconds.
@@ -28,48 +37,13 @@
 """Response header with the epoch of the platform's store (`era`), which increases whenever the
 platform is restored from a backup of its objects."""
 
-ERA_REVISIONS = 2**40
-"""Number of revisions reserved for one era.
-
-After a restoration the platform continues from the backup's revision and assigns the same numbers
-to other changes. Combined with the era, a revision is unique and increases over restorations.
-"""
+MAX_REASON = 200
+"""Characters kept of the reason why objects were left out."""
 
 WATCH_MARGIN_S = 3.0
 """Time limit of a watch's response beyond its wait, in seconds."""
 
 
-@attrs.frozen
-class StoredObject:
-    """One object of the platform.
-
-    Attributes
-    ----------
-    revision : int
-        Revision of its last change, combined with the era; see `ERA_REVISIONS`.
-    """
-
-    name: str
-    revision: int
-    spec: Any
-
-
-@attrs.frozen
-class WatchedChanges:
-    """The changes returned by a watch.
-
-    Attributes
-    ----------
-    changes : list of (bool, StoredObject)
-        Whether the object was deleted, and its last state.
-    revision : int
-        Revision after the changes.
-    """
-
-    changes: list[tuple[bool, StoredObject]]
-    revision: int
-
-
 @attrs.frozen
 class _Answer:
     """A response of the platform.
@@ -81,9 +55,13 @@
     """
 
     status: int
-    value: Any
+    body: bytes
     era: int
 
+    def object(self) -> StoredObject:
+        """Return the object in its body; raises `PlatformUnavailableError` if there is none."""
+        return parse_object(decode_object(self.body), self.era)
+
 
 class ObjectStore:
     """Client of the platform's object store.
@@ -112,12 +90,12 @@
     ) -> _Answer:
         try:
             answer = await client.request(method, path, body, timeout_s=timeout_s)
-            value = answer.json() if answer.body else None
+            content = answer.content()
         except ExchangeError as error:
             raise PlatformUnavailableError(f"{method} {path}: {error}") from error
         if answer.status in (429, 503) or answer.status >= 500:
             raise PlatformUnavailableError(f"{method} {path}: answered {answer.status}")
-        return _Answer(answer.status, value, self._record_era(answer.headers.get(ERA_HEADER)))
+        return _Answer(answer.status, content, self._record_era(answer.headers.get(ERA_HEADER)))
 
     def _record_era(self, header: str | None) -> int:
         """Record and return the era in a response's header; the last known one if it is missing."""
@@ -161,11 +139,19 @@
             first_era = answer.era if first_era is None else first_era
             if answer.era != first_era:
                 raise PlatformUnavailableError(f"the platform was restored during a list of {kind}")
-            items, revision, has_more = _parse_page(answer)
-            objects.update({item.name: item for item in items})
-            if not has_more or not items:
-                return objects, revision
-            query = f"?after={quote(items[-1].name)}"
+            if answer.status == 404:
+                return objects, 0
+            page = parse_page(answer.body, answer.era)
+            self._log_left_out(kind, page.left_out)
+            objects.update({item.name: item for item in page.items})
+            if not page.has_more or not page.items:
+                return objects, page.revision
+            query = f"?after={quote(page.items[-1].name)}"
+
+    def _log_left_out(self, kind: str, reasons: tuple[str, ...]) -> None:
+        if reasons and self._log is not None:
+            why = reasons[0][:MAX_REASON]
+            self._log.event("objects_left_out", kind=kind, count=len(reasons), why=why)
 
     async def get(self, kind: str, name: str, *, may_be_old: bool = False) -> StoredObject | None:
         """Return one object; None if there is none.
@@ -203,8 +189,8 @@
             answer = await self._call("PUT", path, body)
         if revision and answer.era != era_of(revision):
             raise PlatformUnavailableError(f"the platform was restored during a write of {path}")
-        if answer.status in (200, 201, 409) and answer.value is not None:
-            return parse_object(answer.value, answer.era)
+        if answer.status in (200, 201, 409) and answer.body:
+            return answer.object()
         raise PlatformUnavailableError(f"writing {kind}/{name} was answered {answer.status}")
 
     async def _read_one(self, path: str) -> StoredObject:
@@ -234,17 +220,11 @@
         if answer.status == 410 or answer.era != era:
             # The events of another era lack the changes up to the reused revision.
             return None
-        value = answer.value
-        if answer.status != 200 or not isinstance(value, dict):
+        if answer.status != 200:
             raise PlatformUnavailableError(f"watching {kind} was answered {answer.status}")
-        try:
-            changes = [
-                (bool(event.get("Tombstone")), parse_object(event["Object"], era))
-                for event in value.get("events") or ()
-            ]
-            return WatchedChanges(changes, _revision(value["CurrentRev"], era))
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
-            raise PlatformUnavailableError(f"invalid change of {kind}: {error!r}") from None
+        watched = parse_changes(answer.body, era)
+        self._log_left_out(kind, watched.left_out)
+        return watched
 
 
 def _object_path(kind: str, name: str) -> str:
@@ -256,42 +236,4 @@
     """Return the object that a read of ``path`` was answered with."""
     if answer.status != 200:
         raise PlatformUnavailableError(f"reading {path} was answered {answer.status}")
-    return parse_object(answer.value, answer.era)
-
-
-def _revision(number: Any, era: int) -> int:
-    """Return the platform's revision combined with its era."""
-    return era * ERA_REVISIONS + int(number)
-
-
-def era_of(revision: int) -> int:
-    """Return the era of ``revision``."""
-    return revision // ERA_REVISIONS
-
-
-def _parse_page(answer: _Answer) -> tuple[list[StoredObject], int, bool]:
-    """Return a page's objects, the revision of the list and whether more pages follow."""
-    if answer.status == 404:
-        return [], 0, False
-    value, era = answer.value, answer.era
-    try:
-        items = [parse_object(item, era) for item in value.get("items") or ()]
-        return items, _revision(value["CurrentRev"], era), bool(value.get("MorePages"))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise PlatformUnavailableError(f"invalid list of objects: {error!r}") from None
-
-
-def parse_object(value: Any, era: int = 0) -> StoredObject:
-    """Decode an object of the platform, read in ``era``.
-
-    Raises
-    ------
-    PlatformUnavailableError
-        If ``value`` is not a valid object.
-    """
-    try:
-        meta = value["meta"]
-        revision = _revision(meta["Revision"], era)
-        return StoredObject(str(meta["Name"]), revision, value.get("spec"))
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise PlatformUnavailableError(f"invalid object: {error!r}") from None
+    return answer.object()
--- a/wharftiller/platform/watches.py
+++ b/wharftiller/platform/watches.py
@@ -24,7 +24,8 @@
     from wharftiller.daemons.sessions.state import SharedState
     from wharftiller.decisions import DecisionLog
     from wharftiller.edges.http_client import HttpClient
-    from wharftiller.platform.store import ObjectStore, StoredObject
+    from wharftiller.platform.answers import StoredObject
+    from wharftiller.platform.store import ObjectStore
 
 RETRY_S = 0.4
 """First delay before a failed watch or list is retried, in seconds; doubles each time."""
--- a/wharftiller/tests/platform/test_bad_input.py
+++ b/wharftiller/tests/platform/test_bad_input.py
@@ -23,13 +23,13 @@
 from wharftiller.core.sessions.routes import EndpointEntry
 from wharftiller.edges.leadership_json import record_from_json
 from wharftiller.edges.transport import TcpTransport
+from wharftiller.platform.answers import StoredObject, parse_object
 from wharftiller.platform.objects import (
     InvalidEndpointError,
     decode_configuration,
     decode_endpoint,
 )
 from wharftiller.platform.settings import PlatformSettingsError, load_settings
-from wharftiller.platform.store import StoredObject, parse_object
 from wharftiller.tests.platform.world import World, run_in_world
 
 JSON: st.SearchStrategy[Any] = st.recursive(
--- a/wharftiller/tests/platform/test_restored_platform.py
+++ b/wharftiller/tests/platform/test_restored_platform.py
@@ -15,8 +15,9 @@
 from wharftiller.daemons.sessions.leadership.successors import SuccessorFinder
 from wharftiller.daemons.sessions.leadership.verification import RETRY_S
 from wharftiller.daemons.sessions.membership import readers
+from wharftiller.platform.answers import ERA_REVISIONS
 from wharftiller.platform.objects import OWN_KIND, RECORD_NAME
-from wharftiller.platform.store import ERA_REVISIONS, ObjectStore
+from wharftiller.platform.store import ObjectStore
 from wharftiller.tests.platform.world import (
     SETTLED_S,
     STORE,
