Verify a primary beside holders that have ended or were removed before

Cause: a copy brings back holders that were removed in the lost seconds, every gateway added what it knew to them, and holders that have ended were waited for like silent ones. Endpoints that had vanished by name stood in the way too, although others were at their addresses.

Change: the holders carry a count of their changes, and a newer set that a gateway knows replaces a copy that nobody has changed yet. Beside an unverified primary, holders by address stand for all that vanished; those that have ended delay a leader that answers until all leases are over, and count where nobody leads. An unregistered endpoint that answers and may lead, or holds more, is not passed over.

--- a/wharftiller/core/leadership/holders.py
+++ b/wharftiller/core/leadership/holders.py
@@ -63,11 +63,17 @@
         only those that one process has seen.
     revision : int
         The platform's revision of it; 0 if there is none.
+    updates : int
+        Rises with each change; after a restoration of the platform it may be less than before.
+    is_restored : bool
+        Whether it was last changed before the platform's last restoration.
     """
 
     members: dict[str, tuple[str, ...]] = attrs.field(factory=dict)
     is_known: bool = False
     revision: int = 0
+    updates: int = 0
+    is_restored: bool = False
 
     def lacks(self, entries: Iterable[EndpointEntry]) -> bool:
         """Return whether some of the registered endpoints are not in it."""
@@ -89,6 +95,18 @@
             merged[address] = (*known, *new)[-MAX_NAMES:]
         return attrs.evolve(self, members=merged)
 
+    def with_changes_of(self, former: HolderSet) -> HolderSet:
+        """Return it with what ``former``, read before a restoration, has and the copy lacks.
+
+        A copy that nobody has changed yet is replaced by a newer set: members removed since do
+        not return with it. Otherwise members are only added.
+        """
+        if self.is_restored and former.updates > self.updates:
+            return attrs.evolve(self, members=former.members, updates=former.updates)
+        if self.is_restored:
+            return self
+        return attrs.evolve(self.with_members(former.members), is_known=True)
+
     def without(self, address: str) -> HolderSet:
         """Return it without the member at ``address``."""
         members = {each: names for each, names in self.members.items() if each != address}
--- a/wharftiller/daemons/sessions/leadership/complete_replicas.py
+++ b/wharftiller/daemons/sessions/leadership/complete_replicas.py
@@ -18,7 +18,7 @@
 from wharftiller.daemons.sessions.leadership.successors import as_candidate
 
 if TYPE_CHECKING:
-    from wharftiller.core.leadership.holders import HolderSet
+    from wharftiller.core.leadership.holders import AddressState, HolderSet
     from wharftiller.core.positions import LogPosition
     from wharftiller.core.sessions.endpoints import EndpointRow
     from wharftiller.core.sessions.statements import EndpointStatus
@@ -122,8 +122,8 @@
             return None if best is None else best.name
         return await self.complete_replica(group, old, AcknowledgedWrites())
 
-    async def silent_holders(self, group: str) -> frozenset[str]:
-        """Return the addresses of holders that are not registered and report no log.
+    async def unregistered_states(self, group: str) -> dict[str, AddressState]:
+        """Return what is at the address of each holder that is not registered.
 
         Raises
         ------
@@ -133,8 +133,7 @@
         holders = await self._keeper.fetch(group)
         rows = self._state.endpoints.of_group(group)
         addresses = holders.members.keys() - {row.entry.address for row in rows}
-        statuses = await self._query_addresses(group, addresses)
-        return frozenset(addresses - statuses.keys())
+        return await self._query_addresses(group, addresses)
 
     async def _query_holders(self, group: str, old: str, holders: HolderSet) -> _HolderReports:
         """Query the registered endpoints and all other holders, without the old primary."""
@@ -149,7 +148,7 @@
 
         async with trio.open_nursery() as nursery:
             nursery.start_soon(query_listed)
-            others.update(await self._query_addresses(group, addresses))
+            others.update(_statuses(await self._query_addresses(group, addresses)))
         statuses = [status for _, status in replicas] + list(others.values())
         answered = {row.name for row, _ in replicas}
         return _HolderReports(
@@ -171,18 +170,23 @@
                 addresses.discard(row.entry.address)
         return addresses - holders.addresses_of(old)
 
-    async def _query_addresses(self, group: str, addresses: set[str]) -> dict[str, EndpointStatus]:
-        """Query whichever endpoint is at each address; return the status of those that answer."""
-        statuses: dict[str, EndpointStatus] = {}
+    async def _query_addresses(self, group: str, addresses: set[str]) -> dict[str, AddressState]:
+        """Query whichever endpoint is at each address; return what is there."""
+        states: dict[str, AddressState] = {}
 
         async def query(address: str) -> None:
-            match await self._probe.ask(group, address):
-                case Answered(status) if status is not None:
-                    statuses[address] = status
-                case _:
-                    pass
+            states[address] = await self._probe.ask(group, address)
 
         async with trio.open_nursery() as nursery:
             for address in addresses:
                 nursery.start_soon(query, address)
-        return statuses
+        return states
+
+
+def _statuses(states: dict[str, AddressState]) -> dict[str, EndpointStatus]:
+    """Return the status of each address whose endpoint reported one."""
+    return {
+        address: state.status
+        for address, state in states.items()
+        if isinstance(state, Answered) and state.status is not None
+    }
--- a/wharftiller/daemons/sessions/leadership/holder_keeper.py
+++ b/wharftiller/daemons/sessions/leadership/holder_keeper.py
@@ -73,7 +73,7 @@
         self._absent = absent
         self._successors = successors
         self._sets: dict[str, HolderSet] = {}
-        self._lost_by_restoration: dict[str, HolderSet] = {}
+        self._before_restoration: dict[str, HolderSet] = {}
         self._unknown_since: dict[str, float] = {}
         self._lacking_since: dict[str, float] = {}
         self._read_at: dict[str, float] = {}
@@ -101,9 +101,7 @@
 
         Where none are stored, those are returned that this process has seen.
         """
-        holders = await self._load(group)
-        lost = self._lost_by_restoration.get(group, HolderSet())
-        holders = holders.with_members(lost.members)
+        holders = self._with_lost(group, await self._load(group))
         return holders if holders.is_known else self._seen(group, holders)
 
     def ended_at(self, group: str, address: str) -> float:
@@ -157,8 +155,9 @@
         self._read_at[group] = trio.current_time()
         holders = await self._objects.read(group)
         if before is not None and before.is_known and not self._objects.is_current(before):
-            lost = self._lost_by_restoration.get(group, HolderSet())
-            self._lost_by_restoration[group] = lost.with_members(before.members)
+            known = self._before_restoration.get(group)
+            if known is None or before.updates >= known.updates:
+                self._before_restoration[group] = before
         self._sets[group] = holders
         return holders
 
@@ -175,30 +174,32 @@
         holders = await self._load(group)
         if not self._lacks(group, holders):
             return
+        holders = self._with_lost(group, holders)
         if not holders.is_known and not await self._may_store_first(group):
             return
         await self._store(group, self._completed(group, holders))
 
     def _lacks(self, group: str, holders: HolderSet) -> bool:
-        lost = self._lost_by_restoration.get(group, HolderSet()).members
         return (
             not holders.is_known
             or holders.lacks(self._entries(group))
-            or not lost.keys() <= holders.members.keys()
+            or self._with_lost(group, holders).members != holders.members
         )
 
+    def _with_lost(self, group: str, holders: HolderSet) -> HolderSet:
+        """Return ``holders`` with the changes that a restoration of the platform has undone."""
+        former = self._before_restoration.get(group)
+        return holders if former is None else holders.with_changes_of(former)
+
     def _completed(self, group: str, holders: HolderSet) -> HolderSet:
         """Return ``holders`` with all endpoints that must be stored."""
-        lost = self._lost_by_restoration.get(group, HolderSet())
-        return (
-            self._seen(group, holders).with_members(lost.members).with_entries(self._entries(group))
-        )
+        return self._seen(group, holders).with_entries(self._entries(group))
 
     async def _store(self, group: str, holders: HolderSet) -> None:
         stored = self._sets[group] = await self._objects.replace(group, holders)
         is_stored = stored.members == holders.members
         if is_stored:
-            self._lost_by_restoration.pop(group, None)
+            self._before_restoration.pop(group, None)
             self._unknown_since.pop(group, None)
         self._state.log.change(
             "holders_written" if is_stored else "holders_changed_elsewhere",
--- a/wharftiller/edges/holders_json.py
+++ b/wharftiller/edges/holders_json.py
@@ -12,7 +12,7 @@
 def holders_to_json(group: str, holders: HolderSet) -> dict[str, Any]:
     """Return the members as JSON, without their revision."""
     members = {address: list(names) for address, names in sorted(holders.members.items())}
-    return {"group": group, "members": members}
+    return {"group": group, "members": members, "updates": holders.updates}
 
 
 def holders_from_json(value: Any, revision: int) -> HolderSet:
@@ -25,12 +25,13 @@
     """
     try:
         members = {_address(address): _names(names) for address, names in value["members"].items()}
+        updates = int(value.get("updates") or 0)
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise BadRequestError(
             f"no holders of a group's writes: {error!r}; expected addresses with names of "
             "endpoints. Boxes write the object anew while the group has a primary"
         ) from None
-    return HolderSet(members, is_known=True, revision=revision)
+    return HolderSet(members, is_known=True, revision=revision, updates=updates)
 
 
 def _address(value: Any) -> str:
--- a/wharftiller/platform/holders.py
+++ b/wharftiller/platform/holders.py
@@ -4,11 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+import attrs
+
 from wharftiller.core.errors import BadRequestError
 from wharftiller.core.leadership.holders import HolderSet
 from wharftiller.edges.holders_json import holders_from_json, holders_to_json
 from wharftiller.platform.answers import era_of
-from wharftiller.platform.objects import HOLDERS_PREFIX, OWN_KIND
+from wharftiller.platform.objects import ERA_FIELD, HOLDERS_PREFIX, OWN_KIND
 
 if TYPE_CHECKING:
     from wharftiller.decisions import DecisionLog
@@ -35,13 +37,16 @@
 
     async def replace(self, group: str, holders: HolderSet) -> HolderSet:
         """Replace those of ``holders.revision``; return the ones stored afterwards."""
-        spec = holders_to_json(group, holders)
+        update = attrs.evolve(holders, updates=holders.updates + 1)
+        spec = {**holders_to_json(group, update), ERA_FIELD: self._store.era}
         name = HOLDERS_PREFIX + group
         return self._decode(await self._store.put(OWN_KIND, name, spec, holders.revision))
 
     def _decode(self, stored: StoredObject) -> HolderSet:
         try:
-            return holders_from_json(stored.spec, stored.revision)
+            holders = holders_from_json(stored.spec, stored.revision)
+            is_restored = stored.spec.get(ERA_FIELD) != era_of(stored.revision)
+            return attrs.evolve(holders, is_restored=is_restored)
         except BadRequestError as error:
             self._log.event("holders_not_understood", name=stored.name, why=str(error))
             return HolderSet(revision=stored.revision)
--- a/wharftiller/platform/objects.py
+++ b/wharftiller/platform/objects.py
@@ -71,7 +71,7 @@
 """Prefix of a group's name in the name of the object with the holders of its writes."""
 
 ERA_FIELD = "era"
-"""Field of the leadership record: era of the platform's store in which it was written."""
+"""Field of the record and of holders: era of the platform's store in which they were written."""
 
 BOX_PREFIX = "box."
 """Prefix of a box's name in the name of its object."""
--- a/wharftiller/tests/core/leadership/test_verification.py
+++ b/wharftiller/tests/core/leadership/test_verification.py
@@ -80,6 +80,19 @@
         assert choose_successor(RECORDED, two) == "one"
         assert choose_successor(RECORDED, one) is None
 
+    def test_a_leader_beside_holders_that_have_ended_is_kept_once_all_leases_are_over(self) -> None:
+        """One that had crashed would have returned by then."""
+        ended = {"ended": frozenset({"10.2.4.1:5", "10.2.5.1:5"}), "sync_replicas": 1}
+        assert choose_successor(RECORDED, evidence(STILL_LED, **ended)) is None
+        assert choose_successor(RECORDED, evidence(STILL_LED, **ended, is_settled=True)) == "one"
+
+    def test_holders_that_have_ended_count_where_nobody_leads(self) -> None:
+        statuses = {"one": status(1, 12), "three": status(1, 9)}
+        both = evidence(statuses, "two", is_settled=True, sync_replicas=1)
+        assert choose_successor(RECORDED, both) == "one"
+        ended = attrs.evolve(both, ended=frozenset({"10.2.4.1:5"}))
+        assert choose_successor(RECORDED, ended) is None
+
     def test_nothing_is_decided_while_nobody_answers(self) -> None:
         nobody = evidence({}, "one", "two", "three", is_settled=True)
         assert choose_successor(RECORDED, nobody) is None
--- a/wharftiller/tests/platform/test_holders.py
+++ b/wharftiller/tests/platform/test_holders.py
@@ -15,6 +15,7 @@
 from standins.line_endpoints import LineServer
 from standins.object_store import StoreMode
 from wharftiller.daemons.sessions.leadership.holder_keeper import UNKNOWN_S
+from wharftiller.tests.platform.holder_histories import HolderHistory
 from wharftiller.tests.platform.synchronous_replicas import (
     CRASH_S,
     DRAIN_S,
@@ -208,6 +209,49 @@
 
         run_with_synchronous_replicas(scenario)
 
+    def test_an_unregistered_endpoint_that_holds_more_is_not_passed_over(self) -> None:
+        async def scenario(world: World) -> None:
+            old, removed, other = world.groups[0].servers
+            backup = world.store.copy()
+            other.replication_suspended = True
+            seats = await write_seats(world)
+            world.store.remove("servers", removed.name)
+            world.kill_server(old)
+            world.store.remove("servers", old.name)
+            for number in range(1, BOXES + 1):
+                await world.kill_box(world.boxes[f"box-{number}"])
+            world.store.restore(backup)
+            for number in range(1, BOXES + 1):
+                await world.start_box(number, "abca"[number - 1])
+            await trio.sleep(UNVERIFIED_S)
+            assert not other.leads
+            world.register(old)
+            await check_nothing_lost(world, old, seats)
+
+        run_with_synchronous_replicas(scenario)
+
+    def test_a_primary_that_leads_on_is_served_beside_holders_that_have_ended(self) -> None:
+        async def scenario(world: World) -> None:
+            group = world.groups[0]
+            old, *replicas = group.servers
+            backup = world.store.copy()
+            joined = LineServer("seats-3", group, "10.2.3.1:5", "b", log=list(old.log))
+            group.servers.append(joined)
+            await world.start_server(joined)
+            seats = await write_seats(world)
+            for number in range(1, BOXES + 1):
+                await world.kill_box(world.boxes[f"box-{number}"])
+            for server in replicas:
+                end_server(world, server)
+            world.store.restore(backup)
+            for number in range(1, BOXES + 1):
+                await world.start_box(number, "abca"[number - 1])
+            await seconds_until_writable(world, UNVERIFIED_S)
+            assert seats <= seats_of(old)
+            assert group.primary is old
+
+        run_with_synchronous_replicas(scenario)
+
     def test_a_replica_in_step_takes_over(self) -> None:
         async def scenario(world: World) -> None:
             group = world.groups[0]
@@ -502,6 +546,21 @@
 
         run_with_synchronous_replicas(scenario)
 
+    def test_a_restored_platform_does_not_bring_back_holders_removed_since(self) -> None:
+        async def scenario(world: World) -> None:
+            _, leaving, _ = world.groups[0].servers
+            start_leaving(world, leaving)
+            await write_seats(world)
+            await trio.sleep(DRAIN_S)
+            backup = world.store.copy()
+            end_server(world, leaving)
+            await wait_until(lambda: leaving.address not in members(world), NOTICED_S)
+            world.store.restore(backup)
+            assert leaving.address in members(world)
+            await wait_until(lambda: leaving.address not in members(world), NOTICED_S)
+
+        run_with_synchronous_replicas(scenario)
+
     @pytest.mark.parametrize("spec", [7, {}, {"members": [1]}, {"members": {"nowhere": ["x"]}}])
     def test_an_unreadable_object_is_written_anew(self, spec: Any) -> None:
         async def scenario(world: World) -> None:
@@ -537,3 +596,14 @@
             await check_nothing_lost(world, old, seats)
 
         run_in_world(scenario, groups=[make_group()], boxes=BOXES)
+
+
+class TestRandomHistories:
+    @pytest.mark.parametrize("restores", [False, True])
+    @pytest.mark.parametrize("seed", [0, 1, 2, 31])
+    def test_no_promotion_loses_a_write(
+        self, seed: int, restores: bool, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        history = HolderHistory(seed, restores=restores)
+        history.run(monkeypatch)
+        assert history.lost == []
