Promote only where the record in force marks the failover as ordered

Cause: RecordWriter.write tells whether the stored record is an update of this process, which after a restoration may be one that the copy brought back. The holder took that for the update it had just asked for, and promoted the candidate that the failover had started with. Since failovers without a complete replica are put off by a write, it gets there without any complete replica.

Change: FailoverRunner.advance promotes only if every failover of the record in force is marked as ordered.

--- a/wharftiller/daemons/sessions/leadership/failover_runner.py
+++ b/wharftiller/daemons/sessions/leadership/failover_runner.py
@@ -89,11 +89,13 @@
 
     async def advance(self, record: LeadershipRecord) -> None:
         """Advance the failovers in ``record``, which this box holds, as far as possible now."""
-        if not all(failover.ordered for failover in record.failovers.values()):
+        if not _is_ordered(record):
             if not await self._revoke_and_mark_ordered(record):
                 return
             record = self._state.leases.record
-            if not record.failovers:
+            if not _is_ordered(record):
+                # Nothing is left to promote, or this is another update than the one just written:
+                # an earlier one of this process, or a copy that a restoration brought back.
                 return
         asked_at = self._writer.asked_at(record)
         if trio.current_time() - asked_at > SEND_WINDOW_S:
@@ -291,3 +293,9 @@
             old = failovers[group].old.endpoint
             if old != leading.endpoint:
                 self._prober.start_demotion(old, leading.term)
+
+
+def _is_ordered(record: LeadershipRecord) -> bool:
+    """Return whether the final successor of every failover in ``record`` is recorded."""
+    failovers = record.failovers.values()
+    return bool(failovers) and all(failover.ordered for failover in failovers)
--- a/wharftiller/tests/platform/test_waiting_failovers.py
+++ b/wharftiller/tests/platform/test_waiting_failovers.py
@@ -11,6 +11,7 @@
     DRAIN_S,
     FAILOVER_S,
     end_server,
+    holder_of_failover,
     seats_of,
     start_leaving,
     wait_until,
@@ -71,6 +72,34 @@
         run_with_two_groups(scenario)
 
 
+class TestRestoredDuringAFailover:
+    """The platform is restored while a failover is decided by the box that wrote the copy."""
+
+    @pytest.mark.parametrize("restored_s", [0.0, 0.02, 0.1, 0.2, 0.3, 0.5])
+    def test_a_successor_that_is_not_final_is_not_promoted(self, restored_s: float) -> None:
+        async def scenario(world: World) -> None:
+            group = world.groups[0]
+            first = group.servers[0]
+            start_leaving(world, first)
+            await wait_until(lambda: group.primary is not first, FAILOVER_S)
+            second = group.primary
+            lagging = next(each for each in group.servers if each not in (first, second))
+            await trio.sleep(1.0)
+            lagging.replication_suspended = True
+            await write_seats(world)
+            await trio.sleep(DRAIN_S - 2.0)
+            backup = world.store.copy()
+            end_server(world, first)
+            world.kill_server(second)
+            await wait_until(lambda: holder_of_failover(world) != "", FAILOVER_S)
+            await trio.sleep(restored_s)
+            world.store.restore(backup)
+            await trio.sleep(WAITING_S)
+            assert not lagging.leads
+
+        run_with_two_groups(scenario)
+
+
 class TestWaitingGroup:
     def test_the_record_changes_seldom(self) -> None:
         async def scenario(world: World) -> None:
