Split the entries of endpoints from the platform's other objects, and the tests of holders

The tests of the stored holders have a file of their own, and the steps that both use are in synchronous_replicas.py. No check differs.

--- a/wharftiller/platform/watches.py
+++ b/wharftiller/platform/watches.py
@@ -8,12 +8,8 @@
 
 from wharftiller.core.errors import ConfigurationError, PlatformUnavailableError
 from wharftiller.core.sessions.revisions import RevisionTracker
-from wharftiller.platform.objects import (
-    CONFIGURATION_KIND,
-    CONFIGURATION_NAME,
-    ENDPOINT_KIND,
-    EndpointDecoder,
-)
+from wharftiller.platform.endpoint_entries import ENDPOINT_KIND, EndpointDecoder
+from wharftiller.platform.objects import CONFIGURATION_KIND, CONFIGURATION_NAME
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/wharftiller/tests/platform/synchronous_replicas.py
+++ b/wharftiller/tests/platform/synchronous_replicas.py
@@ -17,6 +17,17 @@
 WRITES = 20
 """Writes that are acknowledged before the primary fails."""
 
+BOXES = 4
+
+DOWN_S = 1.5
+"""Time for which killed boxes are down, in seconds."""
+
+NOTICED_S = 8.0
+"""Time within which a change of the stored holders is noticed and mended, in seconds."""
+
+GONE_LONG_S = 25.0
+"""Time after which a holder that crashed without a word is no longer waited for, in seconds."""
+
 DRAIN_S = 7.0
 """Time for which a leaving server serves on, in seconds."""
 
@@ -32,7 +43,7 @@
 
 def run_with_synchronous_replicas(scenario: Callable[[World], Awaitable[None]]) -> None:
     """Run a scenario with a group whose writes need one replica."""
-    run_in_world(scenario, groups=[make_group(sync_replicas=1)], boxes=4)
+    run_in_world(scenario, groups=[make_group(sync_replicas=1)], boxes=BOXES)
 
 
 async def write_seats(world: World, first: int = 0) -> set[str]:
@@ -87,3 +98,62 @@
     """Return after how long a write is acknowledged."""
     caller = await world.open_session(world.boxes["box-1"], "primary")
     return await write_until_acknowledged(caller, "WRITE last vera", within_s)
+
+
+def members(world: World) -> dict[str, list[str]]:
+    """Return the stored holders of the group."""
+    spec = world.store.spec("wharftiller", "holders.seats")
+    return {} if spec is None else spec["members"]
+
+
+def has_record(world: World) -> bool:
+    """Return whether a primary is recorded."""
+    return world.store.spec("wharftiller", "leadership") is not None
+
+
+async def kill_all(world: World) -> None:
+    """Kill all boxes."""
+    for box in list(world.boxes.values()):
+        await world.kill_box(box)
+
+
+async def start_all(world: World) -> None:
+    """Start all boxes."""
+    for number in range(1, BOXES + 1):
+        await world.start_box(number, "abca"[number - 1])
+
+
+async def restart_together(world: World) -> None:
+    """Kill all boxes at once and start them again."""
+    await kill_all(world)
+    await trio.sleep(DOWN_S)
+    await start_all(world)
+
+
+async def restart_in_turn(world: World) -> None:
+    """Kill one box after the other and start each again."""
+    for number in range(1, BOXES + 1):
+        await world.kill_box(world.boxes[f"box-{number}"])
+        await trio.sleep(DOWN_S / 2)
+        await world.start_box(number, "abca"[number - 1])
+
+
+async def restart_twice(world: World) -> None:
+    """Restart all boxes, and again as soon as they have found each other."""
+    await restart_together(world)
+    await trio.sleep(1.0)
+    await restart_together(world)
+
+
+RESTARTS = [restart_together, restart_in_turn, restart_twice]
+
+
+async def check_nothing_lost(world: World, old: LineServer, seats: set[str]) -> None:
+    """Check that the group serves again and holds ``seats`` once its primary ``old`` is back."""
+    group = world.groups[0]
+    for server in group.servers:
+        server.replication_suspended = False
+    old.down = False
+    world.network.heal()
+    await seconds_until_writable(world, 12.0)
+    assert seats <= seats_of(group.primary)
--- a/wharftiller/tests/platform/test_bad_input.py
+++ b/wharftiller/tests/platform/test_bad_input.py
@@ -24,11 +24,8 @@
 from wharftiller.edges.leadership_json import record_from_json
 from wharftiller.edges.transport import TcpTransport
 from wharftiller.platform.answers import StoredObject, parse_object
-from wharftiller.platform.objects import (
-    InvalidEndpointError,
-    decode_configuration,
-    decode_endpoint,
-)
+from wharftiller.platform.endpoint_entries import InvalidEndpointError, decode_endpoint
+from wharftiller.platform.objects import decode_configuration
 from wharftiller.platform.settings import PlatformSettingsError, load_settings
 from wharftiller.tests.platform.world import World, run_in_world
 
--- a/wharftiller/tests/platform/test_readers.py
+++ b/wharftiller/tests/platform/test_readers.py
@@ -13,7 +13,8 @@
 from wharftiller.daemons.sessions.membership.box_server import BoxServer
 from wharftiller.daemons.sessions.membership.peer_sync import PeerSync
 from wharftiller.edges.http_server import HttpRequest, HttpResponse
-from wharftiller.platform.objects import CONFIGURATION_KIND, ENDPOINT_KIND
+from wharftiller.platform.endpoint_entries import ENDPOINT_KIND
+from wharftiller.platform.objects import CONFIGURATION_KIND
 from wharftiller.platform.store import ObjectStore
 from wharftiller.tests.platform.world import STORE_IP, World, run_in_world, write_until_acknowledged
 
