Keep what a process knows of a group's stored holders in one place, and groups apart

HolderKeeper had eight tables by group; they are one class now. Each group is kept by a task of its own: a holder of one group that is silent (up to 1.8 s a look) delayed the changes of all others, and the group's own additions.

--- a/wharftiller/daemons/sessions/leadership/holder_keeper.py
+++ b/wharftiller/daemons/sessions/leadership/holder_keeper.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import collections
 import math
 from typing import TYPE_CHECKING
 
+import attrs
 import trio
 
 from wharftiller.core.errors import PlatformUnavailableError
@@ -51,6 +53,46 @@
 """
 
 
+@attrs.define
+class _KeptGroup:
+    """What this process knows of the stored holders of one group.
+
+    Attributes
+    ----------
+    holders : HolderSet or None
+        The stored ones as last read; None before the first read.
+    before_restoration : HolderSet or None
+        The newest set read before the platform was restored, until it is stored again.
+    unknown_since : float or None
+        Since when the group is known to have none although it has a primary, in seconds.
+    lacking_since : float or None
+        Since when they lack a registered endpoint, in seconds.
+    read_at, tried_at, checked_at : float
+        When they were last read, when this box last tried to add to them, and when it last looked
+        for ended ones to remove, in seconds.
+    paused_until : float
+        Until when nothing is done, as the platform did not answer, in seconds.
+    is_busy : bool
+        Whether a task is keeping them now.
+    """
+
+    holders: HolderSet | None = None
+    before_restoration: HolderSet | None = None
+    unknown_since: float | None = None
+    lacking_since: float | None = None
+    read_at: float = -math.inf
+    tried_at: float = -math.inf
+    checked_at: float = -math.inf
+    paused_until: float = -math.inf
+    is_busy: bool = False
+
+    def with_lost(self, holders: HolderSet) -> HolderSet:
+        """Return ``holders`` with the changes that a restoration of the platform has undone."""
+        if self.before_restoration is None:
+            return holders
+        return holders.with_changes_of(self.before_restoration)
+
+
 class HolderKeeper:
     """Adds registered endpoints to the stored holders, and removes those that hold nothing alone.
 
@@ -72,135 +114,131 @@
         self._objects = objects
         self._absent = absent
         self._successors = successors
-        self._sets: dict[str, HolderSet] = {}
-        self._before_restoration: dict[str, HolderSet] = {}
-        self._unknown_since: dict[str, float] = {}
-        self._lacking_since: dict[str, float] = {}
-        self._read_at: dict[str, float] = {}
-        self._tried_at: dict[str, float] = {}
-        self._covered_at: dict[str, float] = {}
-        self._paused_until: dict[str, float] = {}
+        self._groups: dict[str, _KeptGroup] = collections.defaultdict(_KeptGroup)
 
     async def run(self) -> None:
         """Keep the holders of all groups that this box serves, until cancelled."""
-        while True:
-            await trio.sleep(POLL_S)
-            async with trio.open_nursery() as nursery:
+        async with trio.open_nursery() as nursery:
+            while True:
+                await trio.sleep(POLL_S)
                 for group in self._state.configuration.groups:
-                    if self._is_kept(group):
+                    if self._is_due(group):
+                        self._groups[group].is_busy = True
                         nursery.start_soon(self._keep, group)
 
     def is_stored(self, group: str) -> bool:
         """Return whether the holders of ``group`` are stored, as far as they need to be."""
         if not self._state.has_sync_replicas(group):
             return True
-        return self._sets.get(group, HolderSet()).is_known
+        holders = self._groups[group].holders
+        return holders is not None and holders.is_known
 
     async def fetch(self, group: str) -> HolderSet:
         """Read the holders of ``group`` now; raises `PlatformUnavailableError` without an answer.
 
         Where none are stored, those are returned that this process has seen.
         """
-        holders = self._with_lost(group, await self._load(group))
-        return holders if holders.is_known else self._seen(group, holders)
+        holders = await self._load(group)
+        return self._seen(group, self._groups[group].with_lost(holders))
 
     def ended_at(self, group: str, address: str) -> float:
         """Return when the holder at ``address`` had ended, in seconds; infinite if not known."""
         return self._absent.ended_at(group, address)
 
-    def _is_kept(self, group: str) -> bool:
+    def _is_due(self, group: str) -> bool:
+        kept = self._groups[group]
         return (
             self._state.has_sync_replicas(group)
             and self._state.serves_group(group)
             and bool(self._entries(group))
-            and trio.current_time() >= self._paused_until.get(group, -math.inf)
+            and trio.current_time() >= kept.paused_until
+            and not kept.is_busy
         )
 
     async def _keep(self, group: str) -> None:
+        kept = self._groups[group]
         try:
-            holders = await self._current(group)
-            await self._probe_absent(group, holders)
-            await self._add_registered(group, holders)
+            await self._refresh(group)
+            await self._add_registered(group)
             await self._remove_covered(group)
         except PlatformUnavailableError as error:
-            self._paused_until[group] = trio.current_time() + FAILED_PAUSE_S
+            kept.paused_until = trio.current_time() + FAILED_PAUSE_S
             self._state.log.event("holders_not_kept", group=group, why=str(error))
+        await self._probe_absent(group)
+        kept.is_busy = False
 
-    async def _probe_absent(self, group: str, holders: HolderSet) -> None:
-        members = self._seen(group, holders).members
+    async def _probe_absent(self, group: str) -> None:
+        holders = self._seen(group, self._groups[group].holders or HolderSet())
         registered = {entry.address for entry in self._entries(group)}
         others = self._other_keepers(group)
-        await self._absent.update(group, members.keys() - registered, others)
+        await self._absent.update(group, holders.members.keys() - registered, others)
 
     # The stored holders -------------------------------------------------
 
-    async def _current(self, group: str) -> HolderSet:
-        """Return the stored holders as last read, at most some seconds old."""
-        holders = self._sets.get(group)
-        if holders is None:
-            return await self._load(group)
-        since_read_s = trio.current_time() - self._read_at[group]
-        if not self._objects.is_current(holders):
-            return holders if since_read_s < WRITE_INTERVAL_S else await self._load(group)
-        if since_read_s >= REFRESH_S:
-            self._read_at[group] = trio.current_time()
+    async def _refresh(self, group: str) -> None:
+        """Read the stored holders unless they were read lately and need not have changed."""
+        kept = self._groups[group]
+        if kept.holders is None:
+            await self._load(group)
+            return
+        since_read_s = trio.current_time() - kept.read_at
+        if not self._objects.is_current(kept.holders):
+            if since_read_s >= WRITE_INTERVAL_S:
+                await self._load(group)
+        elif since_read_s >= REFRESH_S:
+            kept.read_at = trio.current_time()
             newer = await self._objects.read(group, may_be_old=True)
-            if newer.revision != holders.revision:
-                return await self._load(group)
-        return holders
+            if newer.revision != kept.holders.revision:
+                await self._load(group)
 
     async def _load(self, group: str) -> HolderSet:
         """Read the stored holders; keep what a restoration of the platform may have lost."""
-        before = self._sets.get(group)
-        self._read_at[group] = trio.current_time()
+        kept = self._groups[group]
+        kept.read_at = trio.current_time()
         holders = await self._objects.read(group)
+        before = kept.holders
         if before is not None and before.is_known and not self._objects.is_current(before):
-            known = self._before_restoration.get(group)
-            if known is None or before.updates >= known.updates:
-                self._before_restoration[group] = before
-        self._sets[group] = holders
+            former = kept.before_restoration
+            if former is None or before.updates >= former.updates:
+                kept.before_restoration = before
+        kept.holders = holders
         return holders
 
-    async def _add_registered(self, group: str, holders: HolderSet) -> None:
-        """Store the registered endpoints that ``holders`` lacks."""
-        if not self._lacks(group, holders):
-            self._lacking_since.pop(group, None)
-            return
-        now = trio.current_time()
-        since = self._lacking_since.setdefault(group, now)
-        if now - since < self._rank(group) * RANK_DELAY_S or not self._is_due(group):
+    async def _add_registered(self, group: str) -> None:
+        """Store the registered endpoints that the stored holders lack."""
+        kept, now = self._groups[group], trio.current_time()
+        if not self._lacks(group):
+            kept.lacking_since = None
             return
-        self._tried_at[group] = now
-        holders = await self._load(group)
-        if not self._lacks(group, holders):
+        if kept.lacking_since is None:
+            kept.lacking_since = now
+        is_turn = now - kept.lacking_since >= self._rank(group) * RANK_DELAY_S
+        if not is_turn or now - kept.tried_at < WRITE_INTERVAL_S:
             return
-        holders = self._with_lost(group, holders)
-        if not holders.is_known and not await self._may_store_first(group):
+        kept.tried_at = now
+        holders = kept.with_lost(await self._load(group))
+        if not self._lacks(group):
             return
-        await self._store(group, self._completed(group, holders))
+        if holders.is_known or await self._may_store_first(group):
+            await self._store(group, self._seen(group, holders).with_entries(self._entries(group)))
 
-    def _lacks(self, group: str, holders: HolderSet) -> bool:
+    def _lacks(self, group: str) -> bool:
+        """Return whether the stored holders lack endpoints that this process knows."""
+        kept = self._groups[group]
+        holders = kept.holders
         return (
-            not holders.is_known
+            holders is None
+            or not holders.is_known
             or holders.lacks(self._entries(group))
-            or self._with_lost(group, holders).members != holders.members
+            or kept.with_lost(holders).members != holders.members
         )
 
-    def _with_lost(self, group: str, holders: HolderSet) -> HolderSet:
-        """Return ``holders`` with the changes that a restoration of the platform has undone."""
-        former = self._before_restoration.get(group)
-        return holders if former is None else holders.with_changes_of(former)
-
-    def _completed(self, group: str, holders: HolderSet) -> HolderSet:
-        """Return ``holders`` with all endpoints that must be stored."""
-        return self._seen(group, holders).with_entries(self._entries(group))
-
     async def _store(self, group: str, holders: HolderSet) -> None:
-        stored = self._sets[group] = await self._objects.replace(group, holders)
+        kept = self._groups[group]
+        stored = kept.holders = await self._objects.replace(group, holders)
         is_stored = stored.members == holders.members
         if is_stored:
-            self._before_restoration.pop(group, None)
-            self._unknown_since.pop(group, None)
+            kept.before_restoration = kept.unknown_since = None
         self._state.log.change(
             "holders_written" if is_stored else "holders_changed_elsewhere",
             group=group,
@@ -217,8 +255,10 @@
         leases = self._state.leases
         if leases.read_from_platform and group not in leases.record.groups:
             return True
-        now = trio.current_time()
-        since = self._unknown_since.setdefault(group, now) + UNKNOWN_S
+        kept = self._groups[group]
+        if kept.unknown_since is None:
+            kept.unknown_since = trio.current_time()
+        since = kept.unknown_since + UNKNOWN_S
         position = self._state.positions.history(group).earliest_since(since)
         return position is not None and await self._is_held(group, position, HolderSet())
 
@@ -233,18 +273,21 @@
 
     async def _remove_covered(self, group: str) -> None:
         """Remove the ended holders of which another one has everything."""
-        holders, now = self._sets[group], trio.current_time()
-        if not holders.is_known or now - self._covered_at.get(group, -math.inf) < COVERED_POLL_S:
+        kept, now = self._groups[group], trio.current_time()
+        holders = kept.holders
+        if holders is None or not holders.is_known or now - kept.checked_at < COVERED_POLL_S:
             return
-        self._covered_at[group] = now
+        kept.checked_at = now
         for address in sorted(holders.members):
             ended_at = self.ended_at(group, address)
             if now - ended_at >= self._rank(group) * WRITE_INTERVAL_S:
-                await self._remove_if_covered(group, address, ended_at)
+                await self._remove_if_covered(group, holders, address, ended_at)
 
-    async def _remove_if_covered(self, group: str, address: str, ended_at: float) -> None:
+    async def _remove_if_covered(
+        self, group: str, holders: HolderSet, address: str, ended_at: float
+    ) -> None:
         position = self._state.positions.history(group).earliest_since(ended_at)
-        if position is None or not await self._is_held(group, position, self._sets[group]):
+        if position is None or not await self._is_held(group, position, holders):
             return
         if not await self._absent.has_ended(group, address, self._other_keepers(group)):
             return
@@ -271,9 +314,6 @@
         """Return the registered endpoints of ``group``."""
         return [row.entry for row in self._state.endpoints.of_group(group) if row.is_listed]
 
-    def _is_due(self, group: str) -> bool:
-        return trio.current_time() - self._tried_at.get(group, -math.inf) >= WRITE_INTERVAL_S
-
     def _other_keepers(self, group: str) -> list[Box]:
         """Return the other boxes that run statements of ``group``."""
         others = self._gateways.other_gateways_of([group])
