--- a/wharftiller/daemons/sessions/leadership/absent_holders.py
+++ b/wharftiller/daemons/sessions/leadership/absent_holders.py
@@ -15,7 +15,6 @@
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from wharftiller.core.leadership.holders import AddressState
     from wharftiller.daemons.sessions.connections.address_probe import AddressProbe
     from wharftiller.daemons.sessions.membership.box import Box
     from wharftiller.daemons.sessions.membership.boxes import BoxDirectory
@@ -166,7 +165,8 @@
             ) from None
         if not self._is_holder(group, address):
             raise BadRequestError(f"{address} is no holder that this box knows in group {group}")
-        return {"answers": answers(await self._probe.ask(group, address))}
+        state = await self._probe.ask(group, address)
+        return {"answers": isinstance(state, Answered)}
 
     def _is_holder(self, group: str, address: str) -> bool:
         """Return whether an endpoint of ``group`` was registered at ``address``.
@@ -176,8 +176,3 @@
         rows = self._state.endpoints.rows.values()
         is_row = any(row.entry.group == group and row.entry.address == address for row in rows)
         return is_row or address in self._absences.get(group, {})
-
-
-def answers(state: AddressState) -> bool:
-    """Return whether an endpoint of the group is at the address."""
-    return isinstance(state, Answered)
